--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -12,8 +12,8 @@
 	"runtime/debug"
 	"time"
 
-	"sorrelpitch.dev/sorrelpitch/decide"
-	"sorrelpitch.dev/sorrelpitch/internal/wire"
+	"dunestep/decide"
+	"dunestep/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sorrelpitch.dev/sorrelpitch/decide"
+	"dunestep/decide"
 )
 
 // A process embeds one Balancer, feeds it what happens and carries out the actions that come back.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"sorrelpitch.dev/sorrelpitch/decide"
+	"dunestep/decide"
 )
 
 type env struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 
 	"github.com/mailru/easyjson/jlexer"
 
-	"sorrelpitch.dev/sorrelpitch/decide"
+	"dunestep/decide"
 )
 
 // Msg is one decoded item; which fields are set depends on Kind.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"sorrelpitch.dev/sorrelpitch/decide"
+	"dunestep/decide"
 )
 
 func TestActionsAreStrict(t *testing.T) {
