--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dunestep/decide"
+	"dunestep/internal/protocol"
 	"dunestep/internal/wire"
 )
 
@@ -75,10 +76,10 @@
 		h.lists[m.Sheet] = m.Members
 		return nil
 	case "NEW_INSTANCE":
-		s, err := wire.Settings(m.Env)
+		s, err := protocol.DecodeSettings(m.Env)
 		var b *decide.Balancer
 		if err == nil {
-			b, err = decide.New(s, m.Seed)
+			b, err = decide.New(s.Settings, m.Seed)
 		}
 		if err != nil {
 			h.sep()
--- /dev/null
+++ b/cmd/dunestep/main.go
@@ -0,0 +1,117 @@
+// Command dunestep is the agent: it stands beside one copy of the calling application and passes its
+// operations to booking servers, as the decision module decides.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"dunestep/internal/protocol"
+	"dunestep/internal/routing"
+	"dunestep/internal/transport"
+)
+
+const (
+	// memoryShare of what the machine has is the garbage collector's: stacks and the binary come on top.
+	memoryShare = 0.7
+	// lateArrivals is how long after a SIGTERM the front socket stays open, since clients still come.
+	lateArrivals = 900 * time.Millisecond
+	// drainWait ends the drain: SIGKILL comes 3.7 s after SIGTERM at the soonest, where no class waits longer.
+	drainWait = 2500 * time.Millisecond
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "dunestep:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	// Guards against dying with whoever reads the log.
+	signal.Ignore(syscall.SIGPIPE)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	c, err := configure()
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(int(max(math.Ceil(c.Limits.Cores), 1)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB<<20)))
+
+	var agent *routing.Agent
+	descriptors := transport.NewDescriptors(c.Limits.Sockets, func() { agent.Reclaim() })
+	set := routing.Settings{Deployment: c.Settings, Seed: c.Seed, Discovery: c.Discovery, Known: c.Known,
+		Descriptors: descriptors}
+	if c.Settings.Limits.Peers && c.PeerListen.IsValid() {
+		set.Datagrams, err = transport.ListenDatagrams(c.PeerListen, protocol.NewAgents(c.Peers, c.PeersAll))
+		if err != nil {
+			return err
+		}
+		defer set.Datagrams.Close()
+	}
+	if agent, err = routing.Start(set); err != nil {
+		return err
+	}
+	if set.Datagrams != nil {
+		go func() { _ = set.Datagrams.Receive(agent.Hear) }()
+	}
+	front, err := transport.ListenFront(c.Listen, descriptors, agent)
+	if err != nil {
+		return err
+	}
+	served := make(chan error, 1)
+	go func() { served <- front.Serve() }()
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Servers))
+	select {
+	case err := <-served:
+		return err
+	case s := <-stop:
+		slog.Info("draining", "signal", s)
+	}
+	front.StopReady()
+	<-time.NewTimer(lateArrivals).C
+	ctx, cancel := context.WithTimeout(context.Background(), drainWait)
+	defer cancel()
+	if err := front.Drain(ctx); err != nil {
+		slog.Warn("drain cut short", "error", err)
+	}
+	slog.Info("stopped")
+	return nil
+}
+
+// configure reads the configuration. The variables of the environment are all needed, and win over the file.
+func configure() (protocol.Config, error) {
+	env := map[string]string{}
+	for _, name := range []string{"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"} {
+		if env[name] = os.Getenv(name); env[name] == "" {
+			return protocol.Config{}, errors.New(name + " is not set")
+		}
+	}
+	raw, err := os.ReadFile(env["LB_CONFIG"])
+	if err != nil {
+		return protocol.Config{}, err
+	}
+	c, err := protocol.DecodeConfig(raw)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("%s: %w", env["LB_CONFIG"], err)
+	}
+	c.Name = env["LB_NAME"]
+	if c.Listen, err = netip.ParseAddrPort(env["LB_LISTEN"]); err != nil {
+		return protocol.Config{}, fmt.Errorf("LB_LISTEN: %w", err)
+	}
+	if c.Discovery, err = netip.ParseAddrPort(env["LB_DISCOVERY"]); err != nil {
+		return protocol.Config{}, fmt.Errorf("LB_DISCOVERY: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/protocol/config.go
@@ -0,0 +1,90 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+)
+
+// Config is what the agent is told at its start, decoded and checked.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64
+	Limits    Limits
+	// PeerListen, Peers and PeersAll are set where the settings let agents talk to one another.
+	PeerListen netip.AddrPort
+	Peers      []netip.AddrPort // by the agents' numbers, this one's own included
+	PeersAll   netip.AddrPort
+	Known      PoolConfig // the booking servers as last had; may be old
+	Settings   Settings
+}
+
+// Limits is what the agent's machine gives it.
+type Limits struct {
+	Cores    float64
+	MemoryMB int64
+	Sockets  int
+}
+
+// DecodeConfig decodes the configuration file.
+func DecodeConfig(raw []byte) (Config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int64 `json:"memory_mb"`
+			Sockets  int
+		}
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	c := Config{Name: f.Name, Limits: Limits(f.Limits)}
+	var errs []error
+	addr := func(key, text string, needed bool) (a netip.AddrPort) {
+		if text == "" && !needed {
+			return a
+		}
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || a.Port() == 0 {
+			errs = append(errs, fmt.Errorf("config: %s: %q is not an address with a port", key, text))
+		}
+		return a
+	}
+	c.Listen, c.Discovery = addr("listen", f.Listen, true), addr("discovery", f.Discovery, true)
+	c.PeerListen, c.PeersAll = addr("peer_listen", f.PeerListen, false), addr("peers_all", f.PeersAll, false)
+	for i, p := range f.Peers {
+		c.Peers = append(c.Peers, addr("peers["+strconv.Itoa(i)+"]", p, true))
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		errs = append(errs, fmt.Errorf("config: seed: %q is not a hexadecimal number", f.Seed))
+	}
+	c.Seed = seed
+	if l := c.Limits; l.Cores <= 0 || l.MemoryMB <= 0 || l.Sockets <= 0 {
+		errs = append(errs, errors.New("config: limits: cores, memory_mb and sockets must be above zero"))
+	}
+	if len(f.Known) > 0 {
+		if c.Known, err = DecodePoolConfig(f.Known); err != nil {
+			errs = append(errs, fmt.Errorf("config: known: %w", err))
+		}
+	}
+	if len(f.Settings) == 0 {
+		errs = append(errs, errors.New("config: no settings"))
+	} else if c.Settings, err = DecodeSettings(f.Settings); err != nil {
+		errs = append(errs, fmt.Errorf("config: %w", err))
+	}
+	if len(errs) > 0 {
+		return Config{}, errs[0] // one plain line: the first thing to put right
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/protocol/settings_test.go
@@ -0,0 +1,31 @@
+package protocol
+
+import (
+	"testing"
+	"time"
+
+	"dunestep/decide"
+)
+
+func TestSettings(t *testing.T) {
+	s, err := DecodeSettings([]byte(`{"balancers":3,"discovery":"on_request","novel":{"x":1},"resolution":5000,
+		"categories":[{"name":"a","effect":"dedup","keyScope":"zone","memorySpan":3000000,"aim":2000000,"deadline":5000000,"value":10},
+		{"name":"b","effect":"something else"}],
+		"rules":{"onlyDrainingBinds":true,"cold":8800000},"bounds":{"maxRetryAfter":2000000},"report":{"how":"pull"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := s.Classes[0]
+	if a.Effect != decide.Keyed || a.Scope != decide.ScopeZone || a.Memory != 3*time.Second || a.Worth != 10 {
+		t.Errorf("%+v", a)
+	}
+	if s.Classes[1].Effect != decide.Unsafe {
+		t.Error("an unknown effect must not be repeated")
+	}
+	if !s.OnRequest || !s.Rules.OnlyDrainingBind || s.Rules.ColdFor != 8800*time.Millisecond || s.Tick != 5*time.Millisecond {
+		t.Errorf("%+v", s)
+	}
+	if _, err := DecodeSettings([]byte(`[1`)); err == nil {
+		t.Error("broken settings accepted")
+	}
+}
--- /dev/null
+++ b/internal/routing/agents.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"log/slog"
+
+	"dunestep/internal/protocol"
+	"dunestep/internal/transport"
+)
+
+// maxDatagramsWaiting bounds what waits for an actor: datagrams may be lost, memory may not.
+const maxDatagramsWaiting = 256
+
+// agents is the actor of the other agents: it owns the sending of datagrams.
+type agents struct {
+	mail   *mailbox[protocol.Datagram]
+	socket *transport.Datagrams
+}
+
+func startAgents(socket *transport.Datagrams) *agents {
+	a := &agents{mail: newMailbox[protocol.Datagram](), socket: socket}
+	go a.mail.receive(a.send)
+	return a
+}
+
+// tell sends a datagram, or drops it where too many wait.
+func (a *agents) tell(d protocol.Datagram) {
+	if a.mail.waiting() < maxDatagramsWaiting {
+		a.mail.put(d)
+	}
+}
+
+func (a *agents) send(d protocol.Datagram) bool {
+	if err := a.socket.Send(d); err != nil {
+		slog.Warn("datagram not sent", "agent", d.Agent, "error", err)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/routing/booking.go
@@ -0,0 +1,174 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"dunestep/decide"
+	"dunestep/internal/protocol"
+	"dunestep/internal/transport"
+)
+
+// errCalledOff is the cause of a route step's context when the module cancelled it.
+var errCalledOff = errors.New("called off")
+
+// routeStep is one attempt at an operation.
+type routeStep struct {
+	operation *operation
+	attempt   int
+	server    string
+	limit     time.Duration // that the booking server is told
+	sent      time.Time
+	ctx       context.Context // ends when the step is given up
+	cancel    context.CancelCauseFunc
+}
+
+// stepEnded tells the module's actor how a route step ended.
+type stepEnded struct {
+	step    *routeStep
+	outcome decide.Outcome
+	reply   protocol.Reply
+	latency time.Duration
+}
+
+// upstreamSettings is what a booking server's actor goes by.
+type upstreamSettings struct {
+	connectTimeout time.Duration
+	idleLimit      time.Duration
+	descriptors    *transport.Descriptors
+}
+
+// booking is the actor of one booking server. It owns the pool of connections; the reading and writing of
+// each runs beside it.
+type booking struct {
+	set     upstreamSettings
+	mail    *mailbox[any]
+	report  func(stepEnded)
+	addr    netip.AddrPort
+	idle    []*pooled // the one used last at the end
+	busy    int
+	retired bool
+}
+
+// pooled is a connection that waits for its next route step.
+type pooled struct {
+	conn  *transport.Upstream
+	timer *time.Timer
+}
+
+// The messages of a booking server's actor, beside *routeStep.
+type (
+	moved    struct{ addr netip.AddrPort }
+	stepOver struct {
+		conn *transport.Upstream // nil: closed
+		addr netip.AddrPort      // where it leads
+	}
+	idleOver  struct{ entry *pooled }
+	connEnded struct{ conn *transport.Upstream }
+	letGo     struct{} // close idle connections
+	retire    struct{} // the server has left: end when nothing is out
+)
+
+func startBooking(set upstreamSettings, addr netip.AddrPort, report func(stepEnded)) *booking {
+	b := &booking{set: set, mail: newMailbox[any](), report: report, addr: addr}
+	go b.mail.receive(b.handle)
+	return b
+}
+
+func (b *booking) handle(m any) bool {
+	switch m := m.(type) {
+	case *routeStep:
+		b.busy++
+		var conn *transport.Upstream
+		if n := len(b.idle); n > 0 {
+			entry := b.idle[n-1]
+			b.idle = b.idle[:n-1]
+			entry.timer.Stop()
+			conn = entry.conn
+		}
+		go b.carry(m, conn, b.addr)
+	case stepOver:
+		b.busy--
+		switch {
+		case m.conn == nil:
+		case b.retired || m.addr != b.addr:
+			m.conn.Close()
+		default:
+			entry := &pooled{conn: m.conn}
+			entry.timer = time.AfterFunc(b.set.idleLimit, func() { b.mail.put(idleOver{entry}) })
+			b.idle = append(b.idle, entry)
+		}
+	case idleOver:
+		b.drop(func(p *pooled) bool { return p == m.entry })
+	case connEnded:
+		b.drop(func(p *pooled) bool { return p.conn == m.conn })
+	case moved:
+		if m.addr != b.addr { // what is out goes on; what comes goes to the new address
+			b.addr = m.addr
+			b.drop(func(*pooled) bool { return true })
+		}
+	case letGo:
+		b.drop(func(*pooled) bool { return true })
+	case retire:
+		b.retired = true
+		b.drop(func(*pooled) bool { return true })
+	}
+	return !b.retired || b.busy > 0
+}
+
+// drop closes those idle connections that match.
+func (b *booking) drop(match func(*pooled) bool) {
+	kept := b.idle[:0]
+	for _, p := range b.idle {
+		if match(p) {
+			p.timer.Stop()
+			p.conn.Close()
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	clear(b.idle[len(kept):])
+	b.idle = kept
+}
+
+// carry carries a route step out, on an idle connection or a new one, and reports how it ended. It runs
+// beside the actor.
+func (b *booking) carry(step *routeStep, conn *transport.Upstream, addr netip.AddrPort) {
+	defer step.cancel(nil)
+	form := protocol.AppendRouteStep(nil, step.operation.Operation, step.limit)
+	var reply protocol.Reply
+	var reuse bool
+	err := transport.ErrUnused
+	if conn != nil {
+		reply, reuse, err = conn.Exchange(step.ctx, form)
+	}
+	// Nothing was written to a connection that had ended before: this is still the first time it is sent.
+	if errors.Is(err, transport.ErrUnused) {
+		conn, err = transport.DialUpstream(step.ctx, addr, b.set.connectTimeout, b.set.descriptors,
+			func(u *transport.Upstream) { b.mail.put(connEnded{u}) })
+		if err != nil {
+			err = errors.Join(transport.ErrUnwritten, err)
+		} else {
+			reply, reuse, err = conn.Exchange(step.ctx, form)
+		}
+	}
+	ended := stepEnded{step: step, reply: reply, latency: time.Since(step.sent), outcome: reply.Outcome}
+	switch {
+	case err == nil:
+	case errors.Is(err, transport.ErrUnwritten) || errors.Is(err, transport.ErrUnused):
+		ended.outcome = decide.NoConnection
+	case errors.Is(context.Cause(step.ctx), errCalledOff):
+		ended.outcome = decide.CalledOff
+	case step.ctx.Err() != nil:
+		ended.outcome = decide.NoAnswer
+	default:
+		ended.outcome = decide.ConnectionLost
+	}
+	b.report(ended)
+	if !reuse {
+		conn = nil
+	}
+	b.mail.put(stepOver{conn: conn, addr: addr})
+}
--- /dev/null
+++ b/internal/routing/list.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+
+	"dunestep/decide"
+	"dunestep/internal/protocol"
+	"dunestep/internal/transport"
+)
+
+// poolNews tells the module's actor of the pool config.
+type poolNews struct {
+	kind   decide.SyncKind
+	config protocol.PoolConfig
+}
+
+// list is the actor of the pool config: it holds the version and the calls to discovery, and says FAILED as
+// soon as a call ends. When to call again is the module's to say.
+type list struct {
+	mail    *mailbox[any]
+	addr    netip.AddrPort
+	version int64
+	watch   int // the number of the present watch; what comes from an earlier one is passed over
+	cancel  context.CancelFunc
+	report  func(poolNews)
+}
+
+// The messages of the list's actor.
+type (
+	subscribe struct{}
+	fetch     struct{}
+	callBegun struct{ watch int } // zero: not a watch but a fetch
+	callSays  struct {
+		watch  int
+		config protocol.PoolConfig
+	}
+	callEnded struct {
+		watch int
+		err   error
+	}
+)
+
+func startList(addr netip.AddrPort, version int64, report func(poolNews)) *list {
+	l := &list{mail: newMailbox[any](), addr: addr, version: version, report: report, cancel: func() {}}
+	go l.mail.receive(l.handle)
+	return l
+}
+
+func (l *list) handle(m any) bool {
+	switch m := m.(type) {
+	case subscribe:
+		l.cancel()
+		var ctx context.Context
+		ctx, l.cancel = context.WithCancel(context.Background())
+		l.watch++
+		go l.call(ctx, l.watch, protocol.ListCall{Watch: true, From: l.version})
+	case fetch:
+		go l.call(context.Background(), 0, protocol.ListCall{})
+	case callBegun:
+		if m.watch == l.watch { // the answer to the module's call, also where nothing was missed
+			l.report(poolNews{kind: decide.SyncChange})
+		}
+	case callSays:
+		if m.watch == 0 || m.watch == l.watch {
+			l.take(m.config)
+		}
+	case callEnded:
+		if m.watch == l.watch || m.watch == 0 && m.err != nil {
+			slog.Warn("discovery call ended", "error", m.err)
+			l.report(poolNews{kind: decide.SyncFailed})
+		}
+	}
+	return true
+}
+
+// take passes an object on. Changes that are older than what is known are out of order: they would undo later
+// ones, so the next watch asks for the whole list.
+func (l *list) take(c protocol.PoolConfig) {
+	if !c.Full && c.Version < l.version {
+		slog.Warn("pool config out of order, asking for the whole list", "version", c.Version, "known", l.version)
+		l.version = 0
+		l.cancel()
+		return
+	}
+	kind := decide.SyncChange
+	if c.Full {
+		kind = decide.SyncFull
+	}
+	l.version = c.Version
+	l.report(poolNews{kind: kind, config: c})
+}
+
+// call runs beside the actor, for as long as the call lasts.
+func (l *list) call(ctx context.Context, watch int, call protocol.ListCall) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	err := transport.CallDiscovery(ctx, l.addr, call, func() { l.mail.put(callBegun{watch}) }, func(raw []byte) {
+		config, err := protocol.DecodePoolConfig(raw)
+		if err != nil { // what was in it is missed: the next watch brings it again
+			cancel(err)
+			return
+		}
+		l.mail.put(callSays{watch: watch, config: config})
+	})
+	if cause := context.Cause(ctx); cause != nil && err != nil {
+		err = cause
+	}
+	l.mail.put(callEnded{watch: watch, err: err})
+}
