--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -71,8 +71,8 @@
 }
 
 // Exchange writes a route step and waits for the whole answer, or until ctx ends, which closes the
-// connection. After ErrUnused and ErrUnwritten the booking server cannot have begun it. Unless reuse is true, the
-// connection is closed on return.
+// connection. After ErrUnused and ErrUnwritten the booking server cannot have begun it. Unless reuse is
+// true, the connection is closed on return.
 func (u *Upstream) Exchange(ctx context.Context, step []byte) (r protocol.Reply, reuse bool, err error) {
 	u.mu.Lock()
 	u.busy = true
