Take a short budget for old age only on marked repeats; drain by the deployment's deadlines

Read onRequest: a budget under the longest seen was taken for what a repeat has left (decide.go, onRequest, 'c.budget'), so a first try whose budget came a little short, as an impatient client's does, was refused as too old. Where clients mark repeats the mark tells. The real agent needs it twice over: it takes its own delay off the budget.

--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -25,9 +25,12 @@
 	// memoryShare of what the machine has is the garbage collector's: stacks and the binary come on top.
 	memoryShare = 0.7
 	// lateArrivals is how long after a SIGTERM the front socket stays open, since clients still come.
-	lateArrivals = 900 * time.Millisecond
-	// drainWait ends the drain: SIGKILL comes 3.7 s after SIGTERM at the soonest, where no class waits longer.
-	drainWait = 2500 * time.Millisecond
+	lateArrivals = 750 * time.Millisecond
+	// SIGKILL comes after the longest deadline, or longestWait, and killGrace more at the soonest.
+	longestWait = 3 * time.Second
+	killGrace   = 700 * time.Millisecond
+	// lastWords is what remains then for the answers that operations without one are given.
+	lastWords = 300 * time.Millisecond
 )
 
 func main() {
@@ -64,7 +67,11 @@
 		return err
 	}
 	if set.Datagrams != nil {
-		go func() { _ = set.Datagrams.Receive(agent.Hear) }()
+		go func() {
+			if err := set.Datagrams.Receive(agent.Hear); err != nil {
+				slog.Error("no more datagrams are received", "error", err)
+			}
+		}()
 	}
 	front, err := transport.ListenFront(c.Listen, descriptors, agent)
 	if err != nil {
@@ -79,15 +86,36 @@
 	case s := <-stop:
 		slog.Info("draining", "signal", s)
 	}
+	drain(front, agent, drainTime(c.Settings))
+	slog.Info("stopped")
+	return nil
+}
+
+// drain goes on accepting while clients still come, then closes connections as they fall idle. It returns
+// when all that was taken has been answered, after whole at the latest.
+func drain(front *transport.Front, agent *routing.Agent, whole time.Duration) {
 	front.StopReady()
-	<-time.NewTimer(lateArrivals).C
-	ctx, cancel := context.WithTimeout(context.Background(), drainWait)
+	began := time.Now()
+	<-time.NewTimer(min(lateArrivals, whole)).C
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(whole))
 	defer cancel()
-	if err := front.Drain(ctx); err != nil {
-		slog.Warn("drain cut short", "error", err)
+	if front.Drain(ctx) == nil {
+		return
 	}
-	slog.Info("stopped")
-	return nil
+	slog.Warn("drain cut short: what is unanswered fails now")
+	agent.Abandon()
+	ctx, cancel = context.WithTimeout(context.Background(), lastWords/2)
+	defer cancel()
+	_ = front.Drain(ctx)
+}
+
+// drainTime is how long a drain may take and be over before SIGKILL could come.
+func drainTime(s protocol.Settings) time.Duration {
+	var longest time.Duration
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestWait) + killGrace - lastWords
 }
 
 // configure reads the configuration. The variables of the environment are all needed, and win over the file.
--- a/decide/api.go
+++ b/decide/api.go
@@ -92,6 +92,7 @@
 	Prices         Prices
 	Goal           Goal
 	OnRequest      bool          // discovery answers only when asked
+	MarksRetry     bool          // clients mark their retries
 	Tick           time.Duration // shortest gap between steps
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -419,10 +419,11 @@
 	r := &request{id: e.ID, class: c, units: 1, deadline: b.now + max(e.Budget, 0)}
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Work))
 	r.aimBy = b.now + min(aim, c.Deadline)
-	// A budget under the longest seen is what the client's deadline leaves: a repeat, and this old. Guards
-	// against serving repeats that come too late to count; a client with short budgets of its own is hurt.
+	// A repeat's budget under the longest seen is what the client's deadline leaves: it is this old. Guards
+	// against serving repeats that come too late to count; a client with short budgets of its own is hurt
+	// where repeats are not marked. Where they are, a first try that was long on its way is not taken for one.
 	c.budget = max(c.budget, e.Budget)
-	if e.Budget < c.budget-b.set.Tick {
+	if e.Budget < c.budget-b.set.Tick && (e.Retry || !b.set.MarksRetry) {
 		r.aimBy -= c.Deadline - e.Budget
 	}
 	if c.LateWorth > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -432,6 +432,19 @@
 	}
 }
 
+// Guards against first tries refused as late repeats, where the mark tells that they are none.
+func TestOnlyMarkedRepeatsAreOldWhereMarksAreGiven(t *testing.T) {
+	set := settings()
+	set.MarksRetry = true
+	b := start(t, set, list(4))
+	b.Step(1, &Request{ID: 1, Class: "safe", Key: "a", Budget: time.Second})
+	mustSend(t, b.Step(2, &Request{ID: 2, Class: "safe", Key: "b", Budget: 500 * ms}))
+	acts := b.Step(3, &Request{ID: 3, Class: "safe", Key: "c", Budget: 500 * ms, Retry: true})
+	if find(acts, Refuse) == nil {
+		t.Errorf("a marked repeat that is too old: %+v", acts)
+	}
+}
+
 func TestSilentServerIsLeftBeforeTheRoundEnds(t *testing.T) {
 	b := start(t, settings(), list(4))
 	now := time.Second
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -73,8 +73,9 @@
 	if l := c.Limits; l.Cores <= 0 || l.MemoryMB <= 0 || l.Sockets <= 0 {
 		errs = append(errs, errors.New("config: limits: cores, memory_mb and sockets must be above zero"))
 	}
+	bad := func(err error) { errs = append(errs, fmt.Errorf("config: known: %w", err)) }
 	if len(f.Known) > 0 {
-		if c.Known, err = DecodePoolConfig(f.Known); err != nil {
+		if c.Known, err = DecodePoolConfig(f.Known, bad); err != nil {
 			errs = append(errs, fmt.Errorf("config: known: %w", err))
 		}
 	}
--- a/internal/protocol/poolconfig.go
+++ b/internal/protocol/poolconfig.go
@@ -28,18 +28,13 @@
 	Addr netip.AddrPort
 }
 
-// DecodePoolConfig decodes one of discovery's objects. What is not whole is refused: a list that is applied
-// in part would leave the agent with a fleet that never was.
-func DecodePoolConfig(raw []byte) (PoolConfig, error) {
+// DecodePoolConfig decodes one of discovery's objects. An entry that is malformed is dropped and told of, and
+// the others hold: a drain in the same object must be heeded.
+func DecodePoolConfig(raw []byte, dropped func(error)) (PoolConfig, error) {
 	var f struct {
 		Version *int64
 		Full    bool
-		Servers []struct {
-			ID, Addr, Zone, Kind, State string
-			Cell                        int
-			Weight                      *float64
-			StartedMS                   int64 `json:"started_ms"`
-		}
+		Servers []json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return PoolConfig{}, fmt.Errorf("pool config: %w", err)
@@ -48,35 +43,53 @@
 		return PoolConfig{}, errors.New("pool config: no version")
 	}
 	p := PoolConfig{Version: *f.Version, Full: f.Full, Servers: make([]PoolServer, 0, len(f.Servers))}
-	for _, e := range f.Servers {
-		s := PoolServer{Server: decide.Server{ID: e.ID, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Weight: 1}}
-		switch e.State {
-		case "active":
-			s.State = decide.Ready
-		case "leaving":
-			s.State = decide.Draining
-		case "left":
-			s.State = decide.Gone
-		default:
-			return PoolConfig{}, fmt.Errorf("pool config: server %q: unknown state %q", e.ID, e.State)
-		}
-		addr, err := netip.ParseAddrPort(e.Addr)
-		// one that has left may come without an address
-		if e.ID == "" || (err != nil || addr.Port() == 0) && s.State != decide.Gone {
-			return PoolConfig{}, fmt.Errorf("pool config: server %q: bad id or address %q", e.ID, e.Addr)
-		}
-		if e.Weight != nil {
-			s.Weight = *e.Weight
+	for _, raw := range f.Servers {
+		s, err := decodeServer(raw)
+		if err != nil {
+			dropped(err)
+			continue
 		}
-		if s.Weight < 0 || e.StartedMS < 0 || e.StartedMS > math.MaxInt64/int64(time.Millisecond) {
-			return PoolConfig{}, fmt.Errorf("pool config: server %q: bad weight or start", e.ID)
-		}
-		s.Addr, s.Started = addr, time.Duration(e.StartedMS)*time.Millisecond
 		p.Servers = append(p.Servers, s)
 	}
 	return p, nil
 }
 
+var states = map[string]decide.ServerState{
+	"active": decide.Ready, "leaving": decide.Draining, "left": decide.Gone,
+}
+
+func decodeServer(raw []byte) (PoolServer, error) {
+	var f struct {
+		ID, Addr, Zone, Kind, State string
+		Cell                        int
+		Weight                      *float64
+		StartedMS                   int64 `json:"started_ms"`
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return PoolServer{}, fmt.Errorf("server: %w", err)
+	}
+	s := PoolServer{Server: decide.Server{ID: f.ID, Zone: f.Zone, Kind: f.Kind, Cell: f.Cell, Weight: 1}}
+	var known bool
+	if s.State, known = states[f.State]; !known || f.ID == "" {
+		return PoolServer{}, fmt.Errorf("server %q: no id, or unknown state %q", f.ID, f.State)
+	}
+	// Only one that is sent to needs an address.
+	addr, err := netip.ParseAddrPort(f.Addr)
+	if s.State == decide.Ready && (err != nil || addr.Port() == 0) {
+		return PoolServer{}, fmt.Errorf("server %q: bad address %q", f.ID, f.Addr)
+	}
+	if f.Weight != nil {
+		s.Weight = *f.Weight
+	}
+	if s.Weight < 0 || f.StartedMS < 0 || f.StartedMS > maxUnixMS {
+		return PoolServer{}, fmt.Errorf("server %q: bad weight or start", f.ID)
+	}
+	s.Addr, s.Started = addr, time.Duration(f.StartedMS)*time.Millisecond
+	return s, nil
+}
+
+const maxUnixMS = math.MaxInt64 / int64(time.Millisecond)
+
 // ListCall is a call to discovery.
 type ListCall struct {
 	Watch bool  // a watch, else the whole list once
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -25,6 +25,7 @@
 	}
 	OverShareWorth float64
 	Discovery      string
+	ClientHabits   struct{ MarksRetry bool }
 	Bounds         struct {
 		Cancel, MayTell, Probes, RetryAfter, SecondCopies bool
 		SendCap                                           int
@@ -67,7 +68,7 @@
 		Goal: decide.Goal{Whole: e.Goal.Whole, WorstWindow: e.Goal.WorstWindow,
 			WorstClass: e.Goal.WorstClass, WorstTenant: e.Goal.WorstTenant,
 			SlowEnd: e.Goal.SlowEnd, TailMiss: e.Goal.TailMiss},
-		OnRequest: e.Discovery == "on_request", Tick: micros(e.Resolution),
+		OnRequest: e.Discovery == "on_request", MarksRetry: e.ClientHabits.MarksRetry, Tick: micros(e.Resolution),
 	}
 	for _, c := range e.Categories {
 		k := decide.Class{Name: c.Name, Aim: micros(c.Aim), AimStretch: c.AimStretch, Deadline: micros(c.Deadline),
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -19,8 +19,8 @@
 	operation *operation
 	attempt   int
 	server    string
-	limit     time.Duration // that the booking server is told
 	sent      time.Time
+	until     time.Time       // when it is given up
 	ctx       context.Context // ends when the step is given up
 	cancel    context.CancelCauseFunc
 }
@@ -93,7 +93,7 @@
 		b.busy--
 		switch {
 		case m.conn == nil:
-		case b.retired || m.addr != b.addr:
+		case b.retired || m.addr != b.addr || m.conn.Ended(): // its end may have been told before this
 			m.conn.Close()
 		default:
 			entry := &pooled{conn: m.conn}
@@ -137,12 +137,15 @@
 // beside the actor.
 func (b *booking) carry(step *routeStep, conn *transport.Upstream, addr netip.AddrPort) {
 	defer step.cancel(nil)
-	form := protocol.AppendRouteStep(nil, step.operation.Operation, step.limit)
+	exchange := func() (protocol.Reply, bool, error) {
+		wait := time.Until(step.until) // after the dial
+		return conn.Exchange(step.ctx, protocol.AppendRouteStep(nil, step.operation.Operation, wait))
+	}
 	var reply protocol.Reply
 	var reuse bool
 	err := transport.ErrUnused
 	if conn != nil {
-		reply, reuse, err = conn.Exchange(step.ctx, form)
+		reply, reuse, err = exchange()
 	}
 	// Nothing was written to a connection that had ended before: this is still the first time it is sent.
 	if errors.Is(err, transport.ErrUnused) {
@@ -151,7 +154,7 @@
 		if err != nil {
 			err = errors.Join(transport.ErrUnwritten, err)
 		} else {
-			reply, reuse, err = conn.Exchange(step.ctx, form)
+			reply, reuse, err = exchange()
 		}
 	}
 	ended := stepEnded{step: step, reply: reply, latency: time.Since(step.sent), outcome: reply.Outcome}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -63,7 +63,10 @@
 			l.report(poolNews{kind: decide.SyncChange})
 		}
 	case callSays:
-		if m.watch == 0 || m.watch == l.watch {
+		switch {
+		case m.watch == 0 && m.config.Version < l.version: // the watch has told more since
+			l.report(poolNews{kind: decide.SyncChange})
+		case m.watch == 0 || m.watch == l.watch:
 			l.take(m.config)
 		}
 	case callEnded:
@@ -97,7 +100,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	err := transport.CallDiscovery(ctx, l.addr, call, func() { l.mail.put(callBegun{watch}) }, func(raw []byte) {
-		config, err := protocol.DecodePoolConfig(raw)
+		config, err := protocol.DecodePoolConfig(raw, func(err error) {
+			slog.Warn("pool config entry dropped", "error", err)
+		})
 		if err != nil { // what was in it is missed: the next watch brings it again
 			cancel(err)
 			return
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -20,6 +20,8 @@
 	answerMargin = 5 * time.Millisecond
 )
 
+var failed = protocol.Answer{Kind: protocol.Failed, Body: []byte("failed\n")}
+
 // Settings is what an Agent goes by.
 type Settings struct {
 	Deployment  protocol.Settings
@@ -45,6 +47,7 @@
 	servers    map[string]*booking
 	states     map[string]decide.ServerState
 	operations map[uint32]*operation
+	ids        map[string]uint32 // of the operations by their ids on the socket
 	lastID     uint32
 }
 
@@ -62,6 +65,7 @@
 // The messages of the module's actor, beside *operation, stepEnded, poolNews and protocol.Datagram.
 type (
 	clientGone struct{ operation *operation }
+	abandon    struct{}
 	timerDue   struct{ tag uint64 }
 	reclaim    struct{}
 )
@@ -76,7 +80,7 @@
 	}
 	a := &Agent{set: set, mail: newMailbox[any](), clock: newClock(), balancer: balancer,
 		servers: map[string]*booking{}, states: map[string]decide.ServerState{},
-		operations: map[uint32]*operation{},
+		operations: map[uint32]*operation{}, ids: map[string]uint32{},
 		upstream: upstreamSettings{connectTimeout: set.Deployment.ConnectTimeout, descriptors: set.Descriptors,
 			idleLimit: time.Duration(idleShare * float64(set.Deployment.ConnIdle))}}
 	a.list = startList(set.Discovery, set.Known.Version, func(n poolNews) { a.mail.put(n) })
@@ -111,6 +115,9 @@
 	}
 }
 
+// Abandon fails every operation that is still unanswered: the agent is about to end.
+func (a *Agent) Abandon() { a.mail.put(abandon{}) }
+
 // Reclaim has idle connections to booking servers closed.
 func (a *Agent) Reclaim() { a.mail.put(reclaim{}) }
 
@@ -132,6 +139,10 @@
 		a.learn(m)
 	case protocol.Datagram:
 		a.step(&decide.PeerMessage{From: m.Agent, Data: m.Data})
+	case abandon:
+		for id := range a.operations {
+			a.answer(id, failed)
+		}
 	case reclaim:
 		for _, b := range a.servers {
 			b.mail.put(letGo{})
@@ -152,7 +163,7 @@
 	case decide.Send:
 		a.send(act)
 	case decide.Fail:
-		a.answer(act.ID, protocol.Answer{Kind: protocol.Failed, Body: []byte("failed\n")})
+		a.answer(act.ID, failed)
 	case decide.Refuse:
 		a.answer(act.ID, protocol.Answer{Kind: protocol.BusyReply, RetryAfter: act.After, Body: []byte("busy\n")})
 	case decide.Cancel:
@@ -179,13 +190,18 @@
 // begin hands an operation to the module, under a number of its own: the ids on the socket have 64 bits, the
 // module's 32, and two that fell together would answer one client with the other's body.
 func (a *Agent) begin(o *operation) {
+	if _, twice := a.ids[o.CorrelationID]; twice { // passed on, it could run twice
+		o.answer <- protocol.Answer{Kind: protocol.Malformed, Body: []byte("the id is in use\n")}
+		o.answered = true
+		return
+	}
 	for a.lastID++; a.operations[a.lastID] != nil; a.lastID++ {
 	}
 	o.id = a.lastID
 	o.deadline = o.Sent.Add(o.TimeLeft - answerMargin)
-	a.operations[o.id] = o
+	a.operations[o.id], a.ids[o.CorrelationID] = o, o.id
 	a.step(&decide.Request{ID: o.id, Work: o.Work, Key: o.Key, Tenant: o.Tenant, Class: o.Class,
-		Budget: max(o.TimeLeft-answerMargin, 0), Retry: o.Repeat})
+		Budget: max(time.Until(o.deadline), 0), Retry: o.Repeat})
 }
 
 // answer gives the one final answer.
@@ -202,6 +218,7 @@
 func (a *Agent) forget(o *operation) {
 	if o.answered && o.open == 0 {
 		delete(a.operations, o.id)
+		delete(a.ids, o.CorrelationID)
 	}
 }
 
@@ -212,18 +229,18 @@
 		return
 	}
 	s := &routeStep{operation: o, attempt: len(o.steps), server: act.Server, sent: time.Now()}
-	until := o.deadline
-	if act.After != 0 && s.sent.Add(act.After).Before(until) {
-		until = s.sent.Add(act.After)
+	s.until = o.deadline
+	if act.After != 0 && s.sent.Add(act.After).Before(s.until) {
+		s.until = s.sent.Add(act.After)
 	}
-	s.limit = until.Sub(s.sent)
-	ctx, stop := context.WithDeadline(context.Background(), until)
+	ctx, stop := context.WithDeadline(context.Background(), s.until)
 	cause, cancel := context.WithCancelCause(ctx)
 	s.ctx, s.cancel = cause, func(err error) { cancel(err); stop() }
 	o.steps = append(o.steps, s)
 	o.open++
 	server := a.servers[act.Server]
-	if server == nil || o.answered || s.limit <= 0 || s.attempt >= a.set.Deployment.Limits.MaxAttempts {
+	late := !s.until.After(s.sent)
+	if server == nil || o.answered || late || s.attempt >= a.set.Deployment.Limits.MaxAttempts {
 		s.cancel(nil)
 		a.mail.put(stepEnded{step: s, outcome: decide.NotSent})
 		return
@@ -279,7 +296,10 @@
 		return
 	}
 	a.states[s.ID] = s.State
-	if b != nil {
+	switch {
+	case !s.Addr.IsValid(): // it only drains: the address stays
+		return
+	case b != nil:
 		b.mail.put(moved{s.Addr})
 		return
 	}
--- a/internal/transport/datagrams.go
+++ b/internal/transport/datagrams.go
@@ -1,7 +1,7 @@
 package transport
 
 import (
-	"log/slog"
+	"errors"
 	"net"
 	"net/netip"
 
@@ -12,6 +12,7 @@
 type Datagrams struct {
 	conn   *net.UDPConn
 	agents *protocol.Agents
+	drops  dropLog
 }
 
 // ListenDatagrams opens the socket. Datagrams leave from it too: a peer knows the sender by its address.
@@ -28,12 +29,14 @@
 	buf := make([]byte, protocol.MaxDatagram+1) // one more, so that a longer one shows
 	for {
 		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		} else if err != nil {
 			return err
 		}
 		dg, err := d.agents.Decode(from, buf[:n])
 		if err != nil {
-			slog.Warn("datagram dropped", "from", from, "error", err)
+			d.drops.warn("datagram dropped", "from", from, "error", err)
 			continue
 		}
 		f(dg)
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -23,10 +23,11 @@
 }
 
 const (
-	headerWait  = 5 * time.Second // for a request's head, from its first byte
-	requestWait = 10 * time.Second
-	idleWait    = 5 * time.Minute
-	maxHeader   = 16 << 10
+	headerWait = 5 * time.Second  // for a request's head
+	bodyWait   = 5 * time.Second  // and for its body
+	answerWait = 10 * time.Second // for a client to take its answer
+	idleWait   = 5 * time.Minute
+	maxHeader  = 16 << 10
 )
 
 // Front is the front socket: the client's side.
@@ -35,6 +36,7 @@
 	listener *frontListener
 	operator Operator
 	draining atomic.Bool
+	fresh    sync.Map // connections on which no request has been read
 }
 
 // ListenFront opens the front socket; Serve begins to accept.
@@ -44,26 +46,27 @@
 		return nil, err
 	}
 	f := &Front{operator: o, listener: &frontListener{Listener: l, descriptors: d, closed: make(chan struct{})}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health/ready", f.ready)
-	mux.HandleFunc("GET /health/live", func(http.ResponseWriter, *http.Request) {})
-	health := http.Handler(mux)
 	f.server = &http.Server{
+		// Not a ServeMux: it would clean paths and redirect, and an operation's target goes on unchanged.
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			// Not by the mux: it would clean paths and redirect, and an operation's target goes on unchanged.
-			if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
-				health.ServeHTTP(w, r)
-				return
+			switch r.URL.Path {
+			case "/health/ready":
+				f.ready(w)
+			case "/health/live":
+			default:
+				f.operate(w, r)
 			}
-			f.operate(w, r)
 		}),
-		ReadHeaderTimeout: headerWait, ReadTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
+		// No ReadTimeout: it would end an operation that takes longer as if its client had gone.
+		ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
-			if s == http.StateActive { // the first byte of a request
-				c.(*frontConn).began.Store(time.Now().UnixNano())
+			if s == http.StateNew {
+				f.fresh.Store(c, nil)
+			} else {
+				f.fresh.Delete(c)
 			}
 		},
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
@@ -83,16 +86,30 @@
 func (f *Front) StopReady() { f.draining.Store(true) }
 
 // Drain stops accepting, closes connections as they fall idle and returns when all are closed, or ctx ends.
-func (f *Front) Drain(ctx context.Context) error { return f.server.Shutdown(ctx) }
+func (f *Front) Drain(ctx context.Context) error {
+	_ = f.listener.Close()
+	f.fresh.Range(func(c, _ any) bool {
+		// The library gives these five seconds more. One on which something has come is left to it.
+		if conn := c.(*frontConn); conn.began.Load() == 0 {
+			_ = conn.Close()
+		}
+		return true
+	})
+	return f.server.Shutdown(ctx)
+}
 
-func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
+func (f *Front) ready(w http.ResponseWriter) {
 	if f.draining.Load() || !f.operator.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 func (f *Front) operate(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody+1)
+	control := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody+1)
+		_ = control.SetReadDeadline(time.Now().Add(bodyWait))
+	}
 	op, err := protocol.DecodeOperation(r)
 	var tooLong *http.MaxBytesError
 	switch {
@@ -103,6 +120,9 @@
 		f.answer(w, protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")})
 		return
 	}
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	op.Sent = time.Unix(0, r.Context().Value(connKey{}).(*frontConn).began.Load())
 	answer, owed := f.operator.Operate(r.Context(), op)
 	if !owed {
@@ -112,6 +132,7 @@
 }
 
 func (f *Front) answer(w http.ResponseWriter, a protocol.Answer) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWait))
 	if err := protocol.EncodeAnswer(w, a); err != nil {
 		slog.Debug("answer not passed on", "error", err)
 	}
@@ -121,10 +142,26 @@
 
 type frontConn struct {
 	net.Conn
-	began   atomic.Int64
+	began   atomic.Int64 // when the first byte of the request came that is read; zero: none yet
+	answers atomic.Bool  // something was written since
 	release func()
 }
 
+// Read notes when a request begins to come: from then on at the latest, its time is counted.
+func (c *frontConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && (c.answers.Swap(false) || c.began.Load() == 0) {
+		c.began.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (c *frontConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.answers.Store(true)
+	return n, err
+}
+
 func (c *frontConn) Close() error {
 	err := c.Conn.Close()
 	c.release()
@@ -136,6 +173,7 @@
 	descriptors *Descriptors
 	closed      chan struct{}
 	once        sync.Once
+	err         error
 }
 
 func (l *frontListener) Accept() (net.Conn, error) {
@@ -151,6 +189,6 @@
 }
 
 func (l *frontListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	l.once.Do(func() { close(l.closed); l.err = l.Listener.Close() })
+	return l.err
 }
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -70,6 +70,13 @@
 	u.release()
 }
 
+// Ended tells whether the connection has ended while no route step was on it.
+func (u *Upstream) Ended() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.broken
+}
+
 // Exchange writes a route step and waits for the whole answer, or until ctx ends, which closes the
 // connection. After ErrUnused and ErrUnwritten the booking server cannot have begun it. Unless reuse is
 // true, the connection is closed on return.
@@ -82,6 +89,13 @@
 		u.Close()
 		return r, false, ErrUnused
 	}
+	// Ended, or turned away at the door, before the first byte: what is written from here on proves nothing.
+	select {
+	case <-u.replies:
+		u.Close()
+		return r, false, ErrUnwritten
+	default:
+	}
 	stop := context.AfterFunc(ctx, u.Close)
 	if _, err := u.conn.Write(step); err != nil {
 		stop()
