Test the program as a process, from its client's, servers', discovery's and peers' side

Covered: PROTOCOL's table of outcomes, one final answer in time, ids of 64 bits, idle connections, clients that go, malformed input from every side, the watch and its ends, drains, readiness, descriptors, the configuration. Found by them and put right: 'OPTIONS *' was answered 200 by the library (transport/front.go); settings without connIdle or connectTimeout were taken, so that every connection was dropped at once.

--- /dev/null
+++ b/cmd/dunestep/helper_test.go
@@ -0,0 +1,488 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The tests start the program as a process and stand round it: as its client, its booking servers, discovery
+// and another agent. Everything is on loopback, on ports that the system picks.
+
+const patience = 15 * time.Second // for what must happen some time
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "dunestep")
+	if err == nil {
+		binary = filepath.Join(dir, "dunestep")
+		var out []byte
+		// With the race detector: a race ends the process with a code of its own, which quit notices.
+		if out, err = exec.Command("go", "build", "-race", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type object = map[string]any
+
+// settings are a deployment with a class of each kind that occurs.
+func settings() object {
+	return object{"balancers": 2, "ordinal": 0, "zone": "a", "resolution": 5000, "discovery": "on_request",
+		"categories": []object{
+			{"name": "consult", "aim": 500000, "deadline": 2500000, "effect": "retryable", "value": 1},
+			{"name": "rezervare", "aim": 500000, "deadline": 1000000, "effect": "fragile", "value": 2}},
+		"customers":    []object{{"name": "acme", "quotaPerS": 1000, "share": 1}},
+		"clientHabits": object{"marksRetry": true},
+		"bounds": object{"sendCap": 3, "cancel": true, "mayTell": true, "retryAfter": true,
+			"maxRetryAfter": 2000000, "connIdle": 15000000, "connectTimeout": 250000},
+		"rules": object{"cold": 8900000, "startCapacity": 0.31, "fallMultiple": 3, "fall": 3000000,
+			"askWithin": 10000000, "stopSendingWithin": 3000000}}
+}
+
+// world is the program and those round it.
+type world struct {
+	t         *testing.T
+	config    object
+	env       []string
+	addr      string
+	process   *exec.Cmd
+	log       *logBuffer
+	exited    chan struct{}
+	servers   []*server
+	discovery *discovery
+	peer      *net.UDPConn
+	ids       atomic.Uint64
+}
+
+type logBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.Write(b)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Buffer.String()
+}
+
+// newWorld prepares n booking servers, which serve, and a list that names them.
+func newWorld(t *testing.T, n int) *world {
+	t.Parallel()
+	w := &world{t: t, log: &logBuffer{}, exited: make(chan struct{})}
+	w.ids.Store(uint64(time.Now().UnixNano()))
+	var entries []object
+	for i := range n {
+		s := newServer(t, fmt.Sprintf("s-%d", i))
+		w.servers = append(w.servers, s)
+		entries = append(entries, s.entry("active"))
+	}
+	w.discovery = newDiscovery(t)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w.addr = free.Addr().String()
+	require.NoError(t, free.Close())
+	w.peer, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = w.peer.Close() })
+	own := w.addr // UDP has ports of its own
+	w.config = object{"name": "n0", "listen": w.addr, "discovery": w.discovery.addr, "seed": "8c1f30d27a5be964",
+		"limits":      object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"peer_listen": own, "peers": []string{own, w.peer.LocalAddr().String()}, "peers_all": own,
+		"known": object{"version": 41, "full": true, "servers": entries}, "settings": settings()}
+	return w
+}
+
+// launch starts the program with the configuration as it is now.
+func (w *world) launch() {
+	raw, err := json.Marshal(w.config)
+	require.NoError(w.t, err)
+	path := filepath.Join(w.t.TempDir(), "config.json")
+	require.NoError(w.t, os.WriteFile(path, raw, 0o600))
+	w.process = exec.Command(binary)
+	w.process.Env = append([]string{"LB_NAME=n0", "LB_LISTEN=" + w.addr, "LB_DISCOVERY=" + w.discovery.addr,
+		"LB_CONFIG=" + path}, w.env...)
+	w.process.Stdout, w.process.Stderr = w.log, w.log
+	require.NoError(w.t, w.process.Start())
+	go func() { _ = w.process.Wait(); close(w.exited) }()
+	w.t.Cleanup(func() {
+		_ = w.process.Process.Kill()
+		<-w.exited
+		if w.t.Failed() {
+			w.t.Log(w.log.String())
+		}
+	})
+}
+
+// start launches the program, waits until it is ready and has it end well after the test.
+func start(t *testing.T, n int, edits ...func(*world)) *world {
+	w := newWorld(t, n)
+	for _, edit := range edits {
+		edit(w)
+	}
+	w.launch()
+	w.until("ready", func() bool { return w.health() == http.StatusOK })
+	t.Cleanup(func() { require.Zero(t, w.quit(), "exit code") })
+	return w
+}
+
+// quit ends the program by SIGTERM and returns its exit code.
+func (w *world) quit() int {
+	_ = w.process.Process.Signal(syscall.SIGTERM)
+	await(w.t, w.exited)
+	return w.process.ProcessState.ExitCode()
+}
+
+// await receives what must come some time.
+func await[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		require.Fail(t, "it does not come")
+	}
+	return v
+}
+
+func (w *world) health() int {
+	resp, err := http.Get("http://" + w.addr + "/health/ready")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, is, patience, 5*time.Millisecond, what)
+}
+
+// seen counts the route steps that reached any booking server.
+func (w *world) seen() (n int) {
+	for _, s := range w.servers {
+		n += len(s.steps())
+	}
+	return n
+}
+
+// each has every booking server answer so.
+func (w *world) each(answer func(step) string) {
+	for _, s := range w.servers {
+		s.set(answer)
+	}
+}
+
+// first has the first route step of all answered by one, and those after it by the other.
+func (w *world) first(one, other func(step) string) {
+	var n atomic.Int32
+	w.each(func(s step) string {
+		if n.Add(1) == 1 {
+			return one(s)
+		}
+		return other(s)
+	})
+}
+
+func (w *world) id() string { return fmt.Sprintf("%016x", w.ids.Add(1)) }
+
+// request is an operation of a class: consult by GET, rezervare by POST with a body.
+func (w *world) request(class string, leftMS int) *http.Request {
+	method, body := http.MethodGet, ""
+	if class == "rezervare" {
+		method, body = http.MethodPost, "chair 4, Monday"
+	}
+	r, err := http.NewRequest(method, "http://"+w.addr+"/"+class+"/x%2Fy?q=1&r=%20", strings.NewReader(body))
+	require.NoError(w.t, err)
+	r.Host = "backend.local"
+	r.Header.Set("X-Correlation-Id", w.id())
+	r.Header.Set("X-Account", "acme")
+	r.Header.Set("Cookie", "sid=7f3a9c21e0b4d655")
+	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(leftMS))
+	return r
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (w *world) do(r *http.Request) answer {
+	w.t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	return answer{resp.StatusCode, string(body), resp.Header}
+}
+
+func (w *world) ask(class string) answer {
+	w.t.Helper()
+	return w.do(w.request(class, 900))
+}
+
+// raw writes bytes to the front socket as they are.
+func (w *world) raw(text string) net.Conn {
+	c, err := net.Dial("tcp", w.addr)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(w.t, err)
+	return c
+}
+
+// step is a route step as a booking server got it.
+type step struct {
+	*http.Request
+	body   string
+	conn   int
+	server string
+}
+
+func ok(s step) string { return reply("200 OK", s.Header.Get("X-Correlation-Id")+" "+s.server) }
+
+func reply(status, body string, headers ...string) string {
+	head := strings.Join(append(headers, fmt.Sprintf("Content-Length: %d", len(body))), "\r\n")
+	return "HTTP/1.1 " + status + "\r\n" + head + "\r\n\r\n" + body
+}
+
+const (
+	hangUp  = "hang up" // close the connection
+	silence = ""        // answer nothing
+)
+
+// server is a booking server. What it answers is written as it is.
+type server struct {
+	id       string
+	listener net.Listener
+	mu       sync.Mutex
+	answer   func(step) string
+	got      []step
+	conns    map[int]net.Conn // the open ones
+	opened   int
+}
+
+func newServer(t *testing.T, id string) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &server{id: id, listener: l, answer: ok, conns: map[int]net.Conn{}}
+	go s.accept()
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *server) entry(state string) object {
+	return object{"id": s.id, "addr": s.listener.Addr().String(), "zone": "a", "kind": "rapid", "cell": 1,
+		"state": state, "weight": 1.0, "started_ms": 0}
+}
+
+func (s *server) set(answer func(step) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = answer
+}
+
+func (s *server) steps() []step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]step(nil), s.got...)
+}
+
+func (s *server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// hangUpAll closes what is open and goes on listening.
+func (s *server) hangUpAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *server) stop() {
+	_ = s.listener.Close()
+	s.hangUpAll()
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.opened++
+		n := s.opened
+		s.conns[n] = c
+		s.mu.Unlock()
+		go s.serve(c, n)
+	}
+}
+
+func (s *server) serve(c net.Conn, n int) {
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, n)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		st := step{r, string(body), n, s.id}
+		s.mu.Lock()
+		s.got = append(s.got, st)
+		answer := s.answer
+		s.mu.Unlock()
+		text := answer(st)
+		if text, cut := strings.CutSuffix(text, hangUp); cut {
+			_, _ = io.WriteString(c, text)
+			return
+		}
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+// discovery is the service of that name. Until told otherwise it accepts watches and says nothing but the
+// empty lines.
+type discovery struct {
+	addr    string
+	mu      sync.Mutex
+	status  int
+	mute    bool // no empty lines
+	calls   []string
+	watches map[chan string]bool
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &discovery{addr: l.Addr().String(), status: http.StatusOK, watches: map[chan string]bool{}}
+	s := &http.Server{Handler: d}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return d
+}
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	lines := make(chan string, 16)
+	d.mu.Lock()
+	d.calls = append(d.calls, r.RequestURI)
+	status, mute := d.status, d.mute
+	if status == http.StatusOK {
+		d.watches[lines] = true
+	}
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.watches, lines)
+		d.mu.Unlock()
+	}()
+	w.WriteHeader(status)
+	if status != http.StatusOK {
+		return
+	}
+	for flush := http.NewResponseController(w).Flush; flush() == nil; {
+		var empty <-chan time.Time
+		if !mute {
+			empty = time.After(500 * time.Millisecond)
+		}
+		select {
+		case line, open := <-lines:
+			if !open {
+				return
+			}
+			_, _ = io.WriteString(w, line+"\n")
+		case <-empty:
+			_, _ = io.WriteString(w, "\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (d *discovery) set(status int, mute bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.status, d.mute = status, mute
+}
+
+func (d *discovery) called() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.calls...)
+}
+
+// watched tells how many watches are open.
+func (d *discovery) watched() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.watches)
+}
+
+// say writes a line on the open watches.
+func (d *discovery) say(line string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for w := range d.watches {
+		w <- line
+	}
+}
+
+// end ends the open watches.
+func (d *discovery) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for w := range d.watches {
+		close(w)
+		delete(d.watches, w)
+	}
+}
+
+// list is an object of discovery's.
+func list(version int, full bool, entries ...object) string {
+	raw, _ := json.Marshal(object{"version": version, "full": full, "servers": entries})
+	return string(raw)
+}
--- /dev/null
+++ b/cmd/dunestep/operations_test.go
@@ -0,0 +1,312 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOperationAndAnswerPassUnchanged(t *testing.T) {
+	w := start(t, 1)
+	body := strings.Repeat("\x00free chair\r\n", 4000)
+	w.each(func(step) string { return reply("200 OK", body) })
+	for _, class := range []string{"consult", "rezervare"} {
+		r := w.request(class, 900)
+		got := w.do(r)
+		require.Equal(t, answer{200, body, got.header}, got)
+		steps := w.servers[0].steps()
+		s := steps[len(steps)-1]
+		require.Equal(t, r.Method, s.Method)
+		require.Equal(t, "/"+class+"/x%2Fy?q=1&r=%20", s.RequestURI)
+		require.Equal(t, "backend.local", s.Host)
+		require.Equal(t, r.Header.Get("X-Correlation-Id"), s.Header.Get("X-Correlation-Id"))
+		left, err := strconv.Atoi(s.Header.Get("X-Time-Left-Ms"))
+		require.NoError(t, err)
+		require.True(t, left > 0 && left < 900, "%d", left)
+		if class == "rezervare" {
+			require.Equal(t, "chair 4, Monday", s.body)
+		}
+		require.Equal(t, 1, s.conn, "connections are reused")
+	}
+}
+
+// What a booking server does, and what it means: PROTOCOL's table of outcomes. The first step of an operation
+// meets it, a further one is served. An unsafe operation goes out again only where it cannot have run.
+func TestOutcomes(t *testing.T) {
+	long := strings.Repeat("x", 64<<10)
+	for _, c := range []struct {
+		name, answer string
+		neverRan     bool
+		served       bool
+	}{
+		{name: "error", answer: reply("500 Internal Server Error", "")},
+		{name: "503 with the mark", answer: reply("503 Service Unavailable", "", "X-Unprocessed: 1"), neverRan: true},
+		{name: "504 with the mark", answer: reply("504 Gateway Timeout", "", "X-Unprocessed: 1"), neverRan: true},
+		{name: "503 without the mark", answer: reply("503 Service Unavailable", "")},
+		{name: "500 with the mark", answer: reply("500 Internal Server Error", "", "X-Unprocessed: 1")},
+		{name: "another status", answer: reply("404 Not Found", "")},
+		{name: "end without an answer", answer: hangUp},
+		{name: "cut in the head", answer: "HTTP/1.1 200 OK\r\nContent-Le" + hangUp},
+		{name: "cut in the body", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf" + hangUp},
+		{name: "cut in a chunk", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf" + hangUp},
+		{name: "no HTTP", answer: "+OK\r\n\r\n" + hangUp},
+		{name: "a body that is too long", answer: reply("200 OK", long+"x")},
+		{name: "a head without end", answer: "HTTP/1.1 200 OK\r\nA: " + long + long},
+		{name: "the longest body", answer: reply("200 OK", long), served: true},
+		{name: "chunked", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+			served: true},
+		{name: "until the end", answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc" + hangUp, served: true},
+		{name: "close announced", answer: reply("200 OK", "abc", "Connection: close"), served: true},
+		{name: "after a 100", answer: "HTTP/1.1 100 Continue\r\n\r\n" + reply("200 OK", "abc"), served: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := start(t, 3)
+			for _, class := range []string{"consult", "rezervare"} {
+				w.first(func(step) string { return c.answer }, ok)
+				before := w.seen()
+				got := w.ask(class)
+				want, steps := 200, 2
+				if c.served {
+					steps = 1
+				} else if class == "rezervare" && !c.neverRan {
+					want, steps = 502, 1
+				}
+				require.Equal(t, want, got.status, class)
+				require.Equal(t, steps, w.seen()-before, class)
+				if want == 200 && !c.served {
+					require.Contains(t, got.body, " s-", class)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an unsafe operation that fails because a booking server cannot be reached, and against a new
+// connection that never comes up being waited for longer than the settings say.
+func TestUnreachableNeverRan(t *testing.T) {
+	w := start(t, 2)
+	w.servers[0].stop()
+	for range 20 {
+		require.Equal(t, 200, w.ask("rezervare").status)
+	}
+}
+
+// Guards against answers after the client has given up, and against answers held back: silence ends in time.
+func TestSilenceIsAnsweredInTime(t *testing.T) {
+	for class, status := range map[string]int{"consult": 503, "rezervare": 502} {
+		t.Run(class, func(t *testing.T) {
+			w := start(t, 1)
+			w.each(func(step) string { return silence })
+			got := w.do(w.request(class, 300))
+			require.Equal(t, status, got.status)
+			if status == 503 {
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.Greater(t, after, 0.0)
+			}
+			w.until("given up by closing", func() bool { return w.servers[0].open() == 0 })
+		})
+	}
+}
+
+// Guards against counting a client's time from when its request was read: it counts from the sending.
+func TestTimeLeftCountsFromTheSending(t *testing.T) {
+	w := start(t, 1)
+	w.each(func(step) string { return silence })
+	r := w.request("rezervare", 1400)
+	body, send := io.Pipe()
+	r.Body, r.ContentLength = body, 4
+	go func() {
+		_, _ = send.Write([]byte("ab"))
+		<-time.NewTimer(1200 * time.Millisecond).C // what the client takes for its sending
+		_, _ = send.Write([]byte("cd"))
+	}()
+	began := time.Now()
+	require.Equal(t, 502, w.do(r).status)
+	// 200 ms are left after the sending; counted from the reading it would be the aim, 500 ms.
+	require.Less(t, time.Since(began), 1600*time.Millisecond)
+}
+
+// Guards against ids cut to the module's 32 bits: two that fall together would swap their answers.
+func TestIdsOf64Bits(t *testing.T) {
+	w := start(t, 2)
+	both := make(chan struct{})
+	var n atomic.Int32
+	w.each(func(s step) string {
+		if n.Add(1) == 2 {
+			close(both)
+		}
+		<-both
+		return ok(s)
+	})
+	var wait sync.WaitGroup
+	for _, id := range []string{"1111111100000007", "2222222200000007"} {
+		wait.Go(func() {
+			r := w.request("consult", 900)
+			r.Header.Set("X-Correlation-Id", id)
+			resp, err := http.DefaultClient.Do(r)
+			if err == nil {
+				defer resp.Body.Close()
+				var body []byte
+				body, err = io.ReadAll(resp.Body)
+				if !strings.HasPrefix(string(body), id+" ") {
+					err = errors.Join(err, fmt.Errorf("%s answered by %q", id, body))
+				}
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against a second run of an unsafe operation under an id that is in use.
+func TestIdInUse(t *testing.T) {
+	w := start(t, 1)
+	in, out := make(chan struct{}), make(chan struct{})
+	w.each(func(s step) string { close(in); <-out; return ok(s) })
+	r := w.request("rezervare", 2000)
+	again := w.request("rezervare", 2000)
+	again.Header = r.Header.Clone()
+	done := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			done <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		done <- resp.StatusCode
+	}()
+	await(t, in)
+	require.Equal(t, 400, w.do(again).status)
+	close(out)
+	require.Equal(t, 200, await(t, done))
+	require.Equal(t, 1, w.seen())
+}
+
+// Guards against work for clients that have gone: their operations are not tried again. The POST shows that
+// the leaving is noticed after a body too.
+func TestClientGone(t *testing.T) {
+	w := start(t, 3)
+	for _, head := range []string{"GET /consult HTTP/1.1\r\n", "POST /consult HTTP/1.1\r\nContent-Length: 4\r\n"} {
+		in, out := make(chan struct{}), make(chan struct{})
+		w.first(func(step) string { close(in); <-out; return reply("500 Oh", "") }, ok)
+		before := w.seen()
+		body := "body"[:4*strings.Count(head, "POST")]
+		r := w.request("consult", 900)
+		id := r.Header.Get("X-Correlation-Id")
+		c := w.raw(head + "Host: x\r\nX-Correlation-Id: " + id + "\r\nX-Time-Left-Ms: 900\r\n\r\n" + body)
+		await(t, in)
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+		_, err := c.Read(make([]byte, 1)) // the agent closes its side when it has noticed
+		require.ErrorIs(t, err, io.EOF)
+		close(out)
+		// The id is in use until the step has ended and nothing follows.
+		w.until("ended", func() bool { return w.do(r.Clone(t.Context())).status == 200 })
+		require.Equal(t, before+2, w.seen(), "one step for each operation")
+	}
+}
+
+func TestMalformedRequestsAreNotSentOn(t *testing.T) {
+	w := start(t, 1)
+	good := "Host: x\r\nX-Correlation-Id: 00000000000000aa\r\nX-Time-Left-Ms: 500\r\n"
+	for text, status := range map[string]string{
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Time-Left-Ms: 500\r\n\r\n":                                       "400",
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 1\r\nX-Time-Left-Ms: 500\r\n\r\n":                "400",
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: g0000000000000aa\r\nX-Time-Left-Ms: 5\r\n\r\n":   "400",
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 00000000000000aa\r\n\r\n":                        "400",
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 00000000000000aa\r\nX-Time-Left-Ms: -1\r\n\r\n":  "400",
+		"GET /consult HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 00000000000000aa\r\nX-Time-Left-Ms: 1.5\r\n\r\n": "400",
+		"GET / HTTP/1.1\r\n" + good + "\r\n":                                                                    "400",
+		"GET //consult HTTP/1.1\r\n" + good + "\r\n":                                                            "400",
+		"DELETE /consult HTTP/1.1\r\n" + good + "\r\n":                                                          "400",
+		"OPTIONS * HTTP/1.1\r\n" + good + "\r\n":                                                                "400",
+		"GET http://x/consult HTTP/1.1\r\n" + good + "\r\n":                                                     "400",
+		"GET /consult HTTP/1.1\r\n" + good + "Content-Length: 1\r\n\r\nx":                                       "400",
+		"POST /consult HTTP/1.1\r\n" + good + "Content-Length: x\r\n\r\n":                                       "400",
+		"POST /consult HTTP/1.1\r\n" + good + "Transfer-Encoding: chunked\r\n\r\nzz\r\n":                        "400",
+		"nonsense\r\n\r\n": "400",
+		"POST /consult HTTP/1.1\r\n" + good + "Content-Length: 65537\r\n\r\n":                      "413",
+		"POST /consult HTTP/1.1\r\n" + good + "Transfer-Encoding: chunked\r\n\r\n" + chunks(65537): "413",
+	} {
+		c := w.raw(text)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+		got := make([]byte, 12)
+		_, err := io.ReadFull(c, got)
+		require.NoError(t, err, "%.200s", text)
+		require.Equal(t, "HTTP/1.1 "+status, string(got), "%.200s", text)
+	}
+	require.Zero(t, w.seen())
+	require.Equal(t, 200, w.ask("consult").status)
+}
+
+func chunks(n int) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", n, strings.Repeat("x", n)) }
+
+// Guards against writing to a connection that has ended, which would be a reset: it is noticed while idle.
+func TestIdleConnectionThatEnds(t *testing.T) {
+	w := start(t, 1)
+	w.until("watch", func() bool { return w.discovery.watched() == 1 })
+	before := w.descriptors()
+	for range 10 {
+		require.Equal(t, 200, w.ask("rezervare").status)
+		w.servers[0].hangUpAll()
+		w.until("noticed", func() bool { return w.descriptors() <= before })
+	}
+}
+
+// Guards against using a connection that the other machine is about to close for its idleness.
+func TestIdleConnectionIsDroppedEarly(t *testing.T) {
+	w := start(t, 1, func(w *world) {
+		w.config["settings"].(object)["bounds"].(object)["connIdle"] = 1000000
+	})
+	require.Equal(t, 200, w.ask("rezervare").status)
+	w.until("dropped", func() bool { return w.servers[0].open() == 0 })
+	require.Equal(t, 200, w.ask("rezervare").status)
+}
+
+// Guards against running out of descriptors: front socket and upstream connections share what there is, and
+// every operation is still answered.
+func TestDescriptorsAreBounded(t *testing.T) {
+	const limit = 64
+	w := start(t, 1, func(w *world) {
+		w.config["limits"].(object)["sockets"] = limit
+	})
+	w.each(func(step) string { return silence })
+	var wait sync.WaitGroup
+	var most, answered atomic.Int32
+	for range 3 * limit {
+		wait.Go(func() {
+			client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			resp, err := client.Do(w.request("consult", 2000))
+			if err == nil {
+				_ = resp.Body.Close()
+				answered.Add(1)
+			}
+			most.Store(max(most.Load(), int32(w.descriptors())))
+		})
+	}
+	wait.Wait()
+	require.EqualValues(t, 3*limit, answered.Load())
+	require.LessOrEqual(t, int(most.Load()), limit)
+	w.each(ok)
+	w.until("serves again", func() bool { return w.ask("consult").status == 200 })
+}
+
+func (w *world) descriptors() int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.process.Process.Pid))
+	return len(entries)
+}
--- /dev/null
+++ b/cmd/dunestep/surroundings_test.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestStartsFromTheKnownList(t *testing.T) {
+	w := start(t, 1, func(w *world) { w.discovery.set(503, false) })
+	require.Equal(t, 200, w.ask("consult").status)
+	require.Equal(t, "/registry/instances?watch=1&from=41", w.discovery.called()[0])
+	w.until("asks again", func() bool { return len(w.discovery.called()) > 1 })
+}
+
+// Guards against saying ready with nowhere to send to: clients would come and be refused.
+func TestReadyOnceAServerIsKnown(t *testing.T) {
+	w := newWorld(t, 1)
+	w.config["known"] = object{"version": 0, "full": true, "servers": []object{}}
+	w.launch()
+	w.until("up", func() bool { return w.health() == 503 && w.discovery.watched() == 1 })
+	require.Equal(t, 503, w.ask("consult").status)
+	w.discovery.say(list(1, true, w.servers[0].entry("active")))
+	w.until("ready", func() bool { return w.health() == 200 })
+	require.Equal(t, 200, w.ask("consult").status)
+	require.Zero(t, w.quit())
+}
+
+// The list on the watch: the first object may be changes or the whole list; addresses change; what drains or
+// has left gets nothing new. A malformed entry is dropped, and the drain beside it is heeded.
+func TestPoolConfig(t *testing.T) {
+	w := start(t, 2)
+	spare := newServer(t, "s-1")
+	reaches := func(s *server) func() bool {
+		return func() bool {
+			before := len(s.steps())
+			require.Equal(t, 200, w.ask("rezervare").status)
+			return len(s.steps()) > before
+		}
+	}
+	w.until("watch", func() bool { return w.discovery.watched() == 1 })
+	w.discovery.say(list(42, false, w.servers[0].entry("leaving"), object{"id": 7}, object{"id": "s-9", "state": "?"},
+		object{"id": "s-8", "state": "active", "addr": "nowhere"}))
+	w.until("drain told", func() bool { return strings.Count(w.log.String(), "entry dropped") == 3 })
+	for range 10 {
+		require.True(t, reaches(w.servers[1])())
+	}
+	w.discovery.say(list(43, false, spare.entry("active"))) // s-1 has moved
+	w.until("moved", reaches(spare))
+	w.discovery.say(list(44, true, w.servers[0].entry("active"))) // s-1 is not listed any more
+	w.until("back", reaches(w.servers[0]))
+	for range 10 {
+		require.True(t, reaches(w.servers[0])())
+	}
+	w.until("connections to what left are closed", func() bool { return spare.open() == 0 })
+}
+
+// However a watch ends, the agent watches again from the version that it has; nothing malformed stops it.
+func TestWatchIsRenewed(t *testing.T) {
+	w := start(t, 1)
+	for i, c := range []struct {
+		name string
+		ends func()
+		from int
+	}{
+		{"its end", w.discovery.end, 43},
+		{"not JSON", func() { w.discovery.say("{") }, 43},
+		{"no version", func() { w.discovery.say(`{"servers":[]}`) }, 43},
+		{"another type", func() { w.discovery.say(`{"version":"x","servers":{}}`) }, 43},
+		{"silence", func() { w.discovery.set(200, true); w.discovery.end() }, 43},
+		{"changes out of order", func() { w.discovery.say(list(12, false)) }, 0},
+	} {
+		w.until("watch", func() bool { return w.discovery.watched() == 1 })
+		w.discovery.say(list(43, i > 0))
+		w.discovery.say(list(43, false, w.servers[0].entry("active")))
+		w.until("told", func() bool { return w.health() == 200 })
+		calls := len(w.discovery.called())
+		c.ends()
+		w.until("again after "+c.name, func() bool { return len(w.discovery.called()) > calls })
+		w.discovery.set(200, false)
+		require.Equal(t, fmt.Sprintf("/registry/instances?watch=1&from=%d", c.from), w.discovery.called()[calls], c.name)
+	}
+	require.Equal(t, 200, w.ask("consult").status)
+}
+
+// Datagrams reach the peers, short enough; what is malformed or from a stranger is dropped.
+func TestDatagrams(t *testing.T) {
+	w := start(t, 1)
+	buf := make([]byte, 1024)
+	require.NoError(t, w.peer.SetReadDeadline(time.Now().Add(patience)))
+	n, from, err := w.peer.ReadFromUDP(buf)
+	require.NoError(t, err)
+	require.Equal(t, w.addr, from.String(), "peers know the sender by its address")
+	require.True(t, n > 0 && n <= 256)
+	to := net.UDPAddrFromAddrPort(from.AddrPort())
+	for _, garbage := range []int{0, 1, 6, 256, 257, 4000} {
+		_, err = w.peer.WriteToUDP([]byte(strings.Repeat("q", garbage)), to)
+		require.NoError(t, err)
+	}
+	stranger, err := net.DialUDP("udp", nil, to)
+	require.NoError(t, err)
+	defer stranger.Close()
+	w.until("dropped", func() bool {
+		_, err := stranger.Write([]byte("hello"))
+		return err == nil && strings.Contains(w.log.String(), "not among the peers")
+	})
+	require.Contains(t, w.log.String(), "1 to 256 bytes")
+	require.Equal(t, 200, w.ask("consult").status)
+}
+
+// A planned restart: the agent goes on for as long as clients still come, answers all that it has taken, and
+// ends by itself.
+func TestDrain(t *testing.T) {
+	w := start(t, 1)
+	in, out := make(chan struct{}), make(chan struct{})
+	w.first(func(s step) string { close(in); <-out; return ok(s) }, ok)
+	taken := make(chan int, 1)
+	go func() { taken <- w.ask("rezervare").status }()
+	await(t, in)
+	unused := w.raw("") // a connection on which nothing comes holds nothing up
+	require.NoError(t, w.process.Process.Signal(syscall.SIGTERM))
+	w.until("no longer ready", func() bool { return w.health() == 503 })
+	w.raw("GET /consult HTTP/1.1\r\n") // nor one on which nothing more comes
+	for began := time.Now(); time.Since(began) < 400*time.Millisecond; {
+		require.Equal(t, 200, w.ask("consult").status)
+	}
+	close(out)
+	require.Equal(t, 200, await(t, taken))
+	require.Zero(t, w.quit())
+	_ = unused.Close()
+	require.Contains(t, w.log.String(), "stopped")
+}
+
+// Guards against a drain that waits for an answer until it is killed: what is unanswered by then fails.
+func TestDrainIsCutShort(t *testing.T) {
+	w := start(t, 1, func(w *world) {
+		classes := w.config["settings"].(object)["categories"].([]object)
+		classes[0]["deadline"], classes[1]["deadline"] = 700000, 700000
+		classes[0]["aim"], classes[1]["aim"] = 700000, 700000
+	})
+	in := make(chan struct{})
+	w.first(func(step) string { close(in); return silence }, ok)
+	require.NoError(t, w.process.Process.Signal(syscall.SIGTERM))
+	<-time.NewTimer(500 * time.Millisecond).C // late, but while it still accepts
+	taken := make(chan int, 1)
+	go func() { taken <- w.do(w.request("rezervare", 690)).status }()
+	await(t, in)
+	require.Equal(t, 502, await(t, taken))
+	require.Zero(t, w.quit())
+}
+
+// A configuration that cannot be used ends the start with one plain line.
+func TestBadConfiguration(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.json") // outlives the parallel tests below
+	require.NoError(t, os.WriteFile(broken, []byte(`{"name":`), 0o600))
+	set := func(value any, path ...string) func(*world) {
+		return func(w *world) {
+			at := w.config
+			for _, key := range path[:len(path)-1] {
+				at = at[key].(object)
+			}
+			at[path[len(path)-1]] = value
+		}
+	}
+	for name, edit := range map[string]func(*world){
+		"LB_NAME is not set":      func(w *world) { w.env = []string{"LB_NAME="} },
+		"LB_LISTEN is not set":    func(w *world) { w.env = []string{"LB_LISTEN="} },
+		"LB_DISCOVERY is not set": func(w *world) { w.env = []string{"LB_DISCOVERY="} },
+		"LB_CONFIG is not set":    func(w *world) { w.env = []string{"LB_CONFIG="} },
+		"LB_LISTEN: ":             func(w *world) { w.env = []string{"LB_LISTEN=here"} },
+		"no such file":            func(w *world) { w.env = []string{"LB_CONFIG=" + broken + "x"} },
+		"unexpected end":          func(w *world) { w.env = []string{"LB_CONFIG=" + broken} },
+		"listen: ":                set("nowhere", "listen"),
+		"discovery: ":             set(nil, "discovery"),
+		"seed: ":                  set("xyz", "seed"),
+		"limits: ":                set(0, "limits", "sockets"),
+		"peers[1]: ":              set([]string{"127.0.0.1:1", "x"}, "peers"),
+		"known: ":                 set(object{"servers": []object{}}, "known"),
+		"no settings":             set(nil, "settings"),
+		"no request classes":      set([]object{}, "settings", "categories"),
+		"resolution":              set(0, "settings", "resolution"),
+		"connIdle":                set(0, "settings", "bounds", "connIdle"),
+		"cannot unmarshal":        set("x", "settings", "balancers"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			edit(w)
+			w.launch()
+			await(t, w.exited)
+			require.Equal(t, 1, w.process.ProcessState.ExitCode())
+			line := w.log.String()
+			require.Contains(t, line, name)
+			require.Equal(t, 1, strings.Count(line, "\n"), line)
+		})
+	}
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -79,11 +79,14 @@
 			errs = append(errs, fmt.Errorf("config: known: %w", err))
 		}
 	}
-	if len(f.Settings) == 0 {
+	if len(f.Settings) == 0 || string(f.Settings) == "null" {
 		errs = append(errs, errors.New("config: no settings"))
 	} else if c.Settings, err = DecodeSettings(f.Settings); err != nil {
 		errs = append(errs, fmt.Errorf("config: %w", err))
 	}
+	if s := c.Settings; len(errs) == 0 && (s.ConnIdle <= 0 || s.ConnectTimeout <= 0) {
+		errs = append(errs, errors.New("config: settings: bounds: connIdle and connectTimeout must be above zero"))
+	}
 	if len(errs) > 0 {
 		return Config{}, errs[0] // one plain line: the first thing to put right
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -58,7 +58,8 @@
 			}
 		}),
 		// No ReadTimeout: it would end an operation that takes longer as if its client had gone.
-		ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true, // it would answer 200
+		ReadHeaderTimeout:            headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
