Give each test's program a loopback address of its own

Saw: 2 of 5 runs of the tests failed, the program saying 'listen udp: address already in use'. Ruled out: a program left over from another test.

--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -95,6 +95,8 @@
 	return l.Buffer.String()
 }
 
+var worlds atomic.Int32
+
 // newWorld prepares n booking servers, which serve, and a list that names them.
 func newWorld(t *testing.T, n int) *world {
 	t.Parallel()
@@ -107,17 +109,18 @@
 		entries = append(entries, s.entry("active"))
 	}
 	w.discovery = newDiscovery(t)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own, or another test could take the port, by TCP or by UDP, before the program does.
+	own := worlds.Add(1)
+	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, own>>8, own&255))
 	require.NoError(t, err)
 	w.addr = free.Addr().String()
 	require.NoError(t, free.Close())
 	w.peer, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = w.peer.Close() })
-	own := w.addr // UDP has ports of its own
 	w.config = object{"name": "n0", "listen": w.addr, "discovery": w.discovery.addr, "seed": "8c1f30d27a5be964",
 		"limits":      object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"peer_listen": own, "peers": []string{own, w.peer.LocalAddr().String()}, "peers_all": own,
+		"peer_listen": w.addr, "peers": []string{w.addr, w.peer.LocalAddr().String()}, "peers_all": w.addr,
 		"known": object{"version": 41, "full": true, "servers": entries}, "settings": settings()}
 	return w
 }
