--- a/cmd/dunestep/operations_test.go
+++ b/cmd/dunestep/operations_test.go
@@ -302,6 +302,7 @@
 	wait.Wait()
 	require.EqualValues(t, 3*limit, answered.Load())
 	require.LessOrEqual(t, int(most.Load()), limit)
+	require.Contains(t, w.log.String(), "no descriptor is free")
 	w.each(ok)
 	w.until("serves again", func() bool { return w.ask("consult").status == 200 })
 }
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -16,6 +16,7 @@
 	front, upstream int
 	freed           chan struct{}
 	reclaim         func() // asks for idle upstream connections to be closed
+	drops           dropLog
 }
 
 // NewDescriptors shares out what a process that may hold limit descriptors has for connections.
@@ -36,6 +37,7 @@
 // takeFront waits until the front may hold one more, or closed is.
 func (d *Descriptors) takeFront(closed <-chan struct{}) bool {
 	for !d.tryFront() {
+		d.drops.warn("no descriptor is free", "for", "a client")
 		d.reclaim()
 		select {
 		case <-d.freed:
@@ -62,6 +64,7 @@
 	}
 	d.mu.Unlock()
 	if !ok {
+		d.drops.warn("no descriptor is free", "for", "a booking server")
 		d.reclaim()
 	}
 	return ok
