--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -423,6 +423,10 @@
 		delete(d.watches, lines)
 		d.mu.Unlock()
 	}()
+	if status == 0 { // not answered at all
+		<-r.Context().Done()
+		return
+	}
 	w.WriteHeader(status)
 	if status != http.StatusOK {
 		return
--- a/cmd/dunestep/surroundings_test.go
+++ b/cmd/dunestep/surroundings_test.go
@@ -81,6 +81,12 @@
 			w.discovery.end()
 			w.until("a watch that will be silent", func() bool { return w.discovery.watched() == 1 })
 		}, 43},
+		{"no answer", func() {
+			calls := len(w.discovery.called())
+			w.discovery.set(0, false)
+			w.discovery.end()
+			w.until("a call that will not be answered", func() bool { return len(w.discovery.called()) > calls })
+		}, 43},
 		{"changes out of order", func() { w.discovery.say(list(12, false)) }, 0},
 	} {
 		w.until("watch", func() bool { return w.discovery.watched() == 1 })
@@ -89,8 +95,8 @@
 		w.until("told", func() bool { return w.health() == 200 })
 		calls := len(w.discovery.called())
 		c.ends()
-		if c.name == "silence" {
-			calls++ // the silent watch itself
+		if c.name == "silence" || c.name == "no answer" {
+			calls++ // that call itself
 		}
 		w.until("again after "+c.name, func() bool { return len(w.discovery.called()) > calls })
 		w.discovery.set(200, false)
