Let idle, silent and stuck client connections give way; refuse two lengths

Checked: in the log nothing else went wrong before; memory 8 of 48 MB, CPU 0.06 s in a second, so neither limit was near. At fault: front.go, idleWait 5 min and takeFront, which waits for a close that never comes while 1264 clients asked once and stayed.

Now: each connection knows what it is at; the listener closes the one that is missed least when descriptors are short; framing is followed on the bytes as they come. Errors linger so that they arrive; unknown classes are refused unsent.

--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -216,6 +216,13 @@
 	})
 }
 
+// patient has every class wait for as long as its client does.
+func (w *world) patient() {
+	for _, class := range w.config["settings"].(object)["categories"].([]object) {
+		class["aim"], class["deadline"] = 60000000, 60000000
+	}
+}
+
 func (w *world) id() string { return fmt.Sprintf("%016x", w.ids.Add(1)) }
 
 // request is an operation of a class: consult by GET, rezervare by POST with a body.
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -67,7 +67,7 @@
 	}
 	idleOver  struct{ entry *pooled }
 	connEnded struct{ conn *transport.Upstream }
-	letGo     struct{} // close idle connections
+	letGo     struct{} // close half of the idle connections
 	retire    struct{} // the server has left: end when nothing is out
 )
 
@@ -110,7 +110,8 @@
 			b.drop(func(*pooled) bool { return true })
 		}
 	case letGo:
-		b.drop(func(*pooled) bool { return true })
+		longest := (len(b.idle) + 1) / 2
+		b.drop(func(*pooled) bool { longest--; return longest >= 0 })
 	case retire:
 		b.retired = true
 		b.drop(func(*pooled) bool { return true })
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -48,6 +48,7 @@
 	states     map[string]decide.ServerState
 	operations map[uint32]*operation
 	ids        map[string]uint32 // of the operations by their ids on the socket
+	classes    map[string]bool   // those of the settings
 	lastID     uint32
 }
 
@@ -80,9 +81,12 @@
 	}
 	a := &Agent{set: set, mail: newMailbox[any](), clock: newClock(), balancer: balancer,
 		servers: map[string]*booking{}, states: map[string]decide.ServerState{},
-		operations: map[uint32]*operation{}, ids: map[string]uint32{},
+		operations: map[uint32]*operation{}, ids: map[string]uint32{}, classes: map[string]bool{},
 		upstream: upstreamSettings{connectTimeout: set.Deployment.ConnectTimeout, descriptors: set.Descriptors,
 			idleLimit: time.Duration(idleShare * float64(set.Deployment.ConnIdle))}}
+	for _, c := range set.Deployment.Classes {
+		a.classes[c.Name] = true
+	}
 	a.list = startList(set.Discovery, set.Known.Version, func(n poolNews) { a.mail.put(n) })
 	if set.Datagrams != nil {
 		a.agents = startAgents(set.Datagrams)
@@ -190,9 +194,13 @@
 // begin hands an operation to the module, under a number of its own: the ids on the socket have 64 bits, the
 // module's 32, and two that fell together would answer one client with the other's body.
 func (a *Agent) begin(o *operation) {
-	if _, twice := a.ids[o.CorrelationID]; twice { // passed on, it could run twice
-		o.answer <- protocol.Answer{Kind: protocol.Malformed, Body: []byte("the id is in use\n")}
-		o.answered = true
+	_, twice := a.ids[o.CorrelationID]
+	switch {
+	case twice: // passed on, it could run twice
+		a.malformed(o, "the id is in use\n")
+		return
+	case !a.classes[o.Class]: // nothing is known of its aim, nor whether it may be repeated
+		a.malformed(o, "unknown class\n")
 		return
 	}
 	for a.lastID++; a.operations[a.lastID] != nil; a.lastID++ {
@@ -204,6 +212,12 @@
 		Budget: max(time.Until(o.deadline), 0), Retry: o.Repeat})
 }
 
+// malformed turns away what the module is not asked about.
+func (a *Agent) malformed(o *operation, why string) {
+	o.answered = true
+	o.answer <- protocol.Answer{Kind: protocol.Malformed, Body: []byte(why)}
+}
+
 // answer gives the one final answer.
 func (a *Agent) answer(id uint32, answer protocol.Answer) {
 	o := a.operations[id]
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -2,14 +2,20 @@
 // agents' datagrams and discovery's stream. It knows no decisions.
 package transport
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // ownDescriptors are those that are no connection: standard streams, listeners, the poller, discovery.
 const ownDescriptors = 32
 
+// evictAgain is how soon it is looked again for a client's connection to close.
+const evictAgain = 20 * time.Millisecond
+
 // Descriptors shares the process's file descriptors between the front socket and the upstream connections.
-// Guards against running out of them, which would fail accepts and dials alike. The front has up to three
-// quarters, since a connection that is never accepted is an operation lost, and an eighth is always its own.
+// Guards against running out of them, which would fail accepts and dials alike. The front has up to five eighths:
+// clients hold a third of the limit for requests, the rest stand idle. An eighth is always its own.
 type Descriptors struct {
 	mu                      sync.Mutex
 	total                   int
@@ -24,28 +30,46 @@
 	return &Descriptors{total: max(limit-ownDescriptors, 8), freed: make(chan struct{}, 1), reclaim: reclaim}
 }
 
-func (d *Descriptors) tryFront() bool {
+// tryFront takes a descriptor for a client. Full tells that the front has its whole share, or almost.
+func (d *Descriptors) tryFront() (ok, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.front >= d.total*3/4 || d.front+d.upstream >= d.total {
-		return false
+	share := d.total * 5 / 8
+	if d.front >= share || d.front+d.upstream >= d.total {
+		return false, d.front >= share
 	}
 	d.front++
-	return true
+	return true, d.front > share*3/4
 }
 
-// takeFront waits until the front may hold one more, or closed is.
-func (d *Descriptors) takeFront(closed <-chan struct{}) bool {
-	for !d.tryFront() {
+// takeFront waits until the front may hold one more, or closed is. Evict closes a client's connection on which
+// nothing is open, and is told whether descriptors are so short that one that just stands there must do.
+func (d *Descriptors) takeFront(closed <-chan struct{}, evict func(short bool) bool) bool {
+	for {
+		ok, full := d.tryFront()
+		if ok {
+			if full {
+				evict(false)
+			}
+			return true
+		}
+		if evict(true) {
+			continue
+		}
 		d.frontFull.warn("no descriptor is free", "for", "a client")
-		d.reclaim()
+		if !full {
+			d.reclaim()
+		}
+		again := time.NewTimer(evictAgain) // by then another connection may be old enough
 		select {
 		case <-d.freed:
+		case <-again.C:
 		case <-closed:
+			again.Stop()
 			return false
 		}
+		again.Stop()
 	}
-	return true
 }
 
 func (d *Descriptors) releaseFront() {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,10 +22,8 @@
 }
 
 const (
-	headerWait = 5 * time.Second  // for a request's head
-	bodyWait   = 5 * time.Second  // and for its body
 	answerWait = 10 * time.Second // for a client to take its answer
-	idleWait   = 5 * time.Minute
+	idleWait   = 30 * time.Second // for the next request on a connection
 	maxHeader  = 16 << 10
 )
 
@@ -36,7 +33,6 @@
 	listener *frontListener
 	operator Operator
 	draining atomic.Bool
-	fresh    sync.Map // connections on which no request has been read
 }
 
 // ListenFront opens the front socket; Serve begins to accept.
@@ -45,29 +41,35 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{operator: o, listener: &frontListener{Listener: l, descriptors: d, closed: make(chan struct{})}}
+	f := &Front{operator: o, listener: &frontListener{Listener: l, descriptors: d, closed: make(chan struct{}),
+		conns: map[*frontConn]struct{}{}}}
 	f.server = &http.Server{
 		// Not a ServeMux: it would clean paths and redirect, and an operation's target goes on unchanged.
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			switch r.URL.Path {
-			case "/health/ready":
+			conn := r.Context().Value(connKey{}).(*frontConn)
+			until, framed := conn.begin()
+			if framed != framedByLength {
+				w.Header().Set("Connection", "close") // what follows could be a part of the body
+			}
+			switch {
+			case framed == framedTwice:
+				f.answer(w, protocol.Answer{Kind: protocol.Malformed, Body: []byte("two lengths\n")})
+			case r.URL.Path == "/health/ready":
 				f.ready(w)
-			case "/health/live":
+			case r.URL.Path == "/health/live":
 			default:
-				f.operate(w, r)
+				f.operate(w, r, conn, until)
 			}
 		}),
 		// No ReadTimeout: it would end an operation that takes longer as if its client had gone.
 		DisableGeneralOptionsHandler: true, // it would answer 200
-		ReadHeaderTimeout:            headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
+		ReadHeaderTimeout:            requestWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeader,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
-			if s == http.StateNew {
-				f.fresh.Store(c, nil)
-			} else {
-				f.fresh.Delete(c)
+			if s == http.StateIdle {
+				c.(*frontConn).idle()
 			}
 		},
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
@@ -89,13 +91,7 @@
 // Drain stops accepting, closes connections as they fall idle and returns when all are closed, or ctx ends.
 func (f *Front) Drain(ctx context.Context) error {
 	_ = f.listener.Close()
-	f.fresh.Range(func(c, _ any) bool {
-		// The library gives these five seconds more. One on which something has come is left to it.
-		if conn := c.(*frontConn); conn.began.Load() == 0 {
-			_ = conn.Close()
-		}
-		return true
-	})
+	f.listener.closeSilent() // the library gives these five seconds more
 	return f.server.Shutdown(ctx)
 }
 
@@ -105,11 +101,10 @@
 	}
 }
 
-func (f *Front) operate(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
+func (f *Front) operate(w http.ResponseWriter, r *http.Request, conn *frontConn, until time.Time) {
 	if r.ContentLength != 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody+1)
-		_ = control.SetReadDeadline(time.Now().Add(bodyWait))
+		_ = http.NewResponseController(w).SetReadDeadline(until)
 	}
 	op, err := protocol.DecodeOperation(r)
 	var tooLong *http.MaxBytesError
@@ -121,10 +116,10 @@
 		f.answer(w, protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")})
 		return
 	}
+	op.Sent = conn.taken()
 	if r.ContentLength != 0 {
-		_ = control.SetReadDeadline(time.Time{})
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	op.Sent = time.Unix(0, r.Context().Value(connKey{}).(*frontConn).began.Load())
 	answer, owed := f.operator.Operate(r.Context(), op)
 	if !owed {
 		panic(http.ErrAbortHandler) // closes the connection: a return would write an empty 200
@@ -133,6 +128,9 @@
 }
 
 func (f *Front) answer(w http.ResponseWriter, a protocol.Answer) {
+	if a.Kind == protocol.Malformed || a.Kind == protocol.TooLong {
+		w.Header().Set("Connection", "close") // and what is left of the request is not waited for
+	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWait))
 	if err := protocol.EncodeAnswer(w, a); err != nil {
 		slog.Debug("answer not passed on", "error", err)
@@ -140,56 +138,3 @@
 }
 
 type connKey struct{}
-
-type frontConn struct {
-	net.Conn
-	began   atomic.Int64 // when the first byte of the request came that is read; zero: none yet
-	answers atomic.Bool  // something was written since
-	release func()
-}
-
-// Read notes when a request begins to come: from then on at the latest, its time is counted.
-func (c *frontConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && (c.answers.Swap(false) || c.began.Load() == 0) {
-		c.began.Store(time.Now().UnixNano())
-	}
-	return n, err
-}
-
-func (c *frontConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.answers.Store(true)
-	return n, err
-}
-
-func (c *frontConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
-}
-
-type frontListener struct {
-	net.Listener
-	descriptors *Descriptors
-	closed      chan struct{}
-	once        sync.Once
-	err         error
-}
-
-func (l *frontListener) Accept() (net.Conn, error) {
-	if !l.descriptors.takeFront(l.closed) {
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		l.descriptors.releaseFront()
-		return nil, err
-	}
-	return &frontConn{Conn: c, release: sync.OnceFunc(l.descriptors.releaseFront)}, nil
-}
-
-func (l *frontListener) Close() error {
-	l.once.Do(func() { close(l.closed); l.err = l.Listener.Close() })
-	return l.err
-}
--- /dev/null
+++ b/internal/transport/frontconn.go
@@ -0,0 +1,358 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// requestWait is how long a client has for its request's last byte: for the first one on a connection from
+	// connecting on, since who connects and says nothing is owed a close by then, else from its first byte on.
+	requestWait = 2300 * time.Millisecond
+	// idleBefore is how long a connection without an open request stays open at the least.
+	idleBefore = 2 * time.Second
+	// silentBefore is the same where descriptors are short and nothing was ever said on it: a client that means
+	// to ask does so right after connecting.
+	silentBefore = 150 * time.Millisecond
+	// stuckBefore is the same for a request that has begun and does not get on.
+	stuckBefore = time.Second
+	// lingerWait is how long what a client still sends is read and thrown away after an error.
+	lingerWait = time.Second
+)
+
+// connState is what a client's connection is at.
+type connState uint8
+
+const (
+	connSilent  connState = iota // nothing came yet
+	connReading                  // a request is coming
+	connBusy                     // an operation is out, or its answer is being written
+	connIdle                     // answered
+	connEnding                   // an error was answered, the rest is thrown away
+	connClosed
+)
+
+// frontConn is a client's connection: it knows what it is at, and how the requests on it are framed.
+type frontConn struct {
+	net.Conn
+	front  *frontListener
+	opened time.Time
+
+	mu      sync.Mutex
+	state   connState
+	since   time.Time // of the state
+	linger  bool      // an error was answered while the client may still be sending
+	framing framing
+}
+
+// Read follows the framing of what comes. A connection that was evicted meanwhile gives nothing any more: a
+// request that crossed the close was never read, and its client sends it again.
+func (c *frontConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.state {
+	case connClosed:
+		return 0, net.ErrClosed
+	case connSilent, connIdle:
+		c.enter(connReading)
+	}
+	c.framing.follow(b[:n])
+	return n, err
+}
+
+// Write notes answers that are given before the request came whole, by the library too.
+func (c *frontConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.linger = c.linger || c.state == connReading
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// enter changes the state; mu is held.
+func (c *frontConn) enter(s connState) {
+	if c.state != connClosed {
+		c.state, c.since = s, time.Now()
+	}
+}
+
+// begin tells that a request's head was read, until when its last byte must come, and how its end is told.
+func (c *frontConn) begin() (until time.Time, framed framed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until = c.since.Add(requestWait)
+	if first := c.opened.Add(requestWait); c.framing.heads <= 1 && first.Before(until) {
+		until = first
+	}
+	return until, c.framing.framed
+}
+
+// taken tells that a request came whole, and when it began to come: from then on at the latest, its client
+// counts its time.
+func (c *frontConn) taken() (began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	began = c.since
+	c.enter(connBusy)
+	c.linger = false
+	return began
+}
+
+// idle tells that an answer was written.
+func (c *frontConn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(connIdle)
+	c.linger = false
+}
+
+// Close ends the connection. Guards against an error that never arrives: a close with unread input resets the
+// connection, and the client's machine throws the answer away. So the client is told that no more comes, and
+// what it still sends is read, for a while.
+func (c *frontConn) Close() error {
+	c.mu.Lock()
+	linger := c.linger && c.state != connClosed
+	c.linger = false
+	if linger {
+		c.enter(connEnding)
+	}
+	c.mu.Unlock()
+	if linger {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerWait))
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			_, _ = io.Copy(io.Discard, tcp)
+		}
+	}
+	err := c.Conn.Close()
+	c.forget()
+	return err
+}
+
+// CloseWrite is there for the library, which calls it before it waits a while and closes.
+func (c *frontConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+func (c *frontConn) forget() {
+	c.mu.Lock()
+	again := c.state == connClosed
+	c.state = connClosed
+	c.mu.Unlock()
+	if !again {
+		c.front.forget(c)
+	}
+}
+
+// evict closes the connection if it is still as it was when it was chosen.
+func (c *frontConn) evict(s connState, since time.Time) bool {
+	c.mu.Lock()
+	same := c.state == s && c.since.Equal(since)
+	if same {
+		c.state = connClosed
+	}
+	c.mu.Unlock()
+	if same {
+		_ = c.Conn.Close()
+		c.front.forget(c)
+	}
+	return same
+}
+
+// spare tells how readily the connection can be given up, if at all, and what it is at. Above zero only where
+// descriptors are short.
+func (c *frontConn) spare(now time.Time) (rank int, s connState, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := now.Sub(c.since)
+	rank = -1
+	switch {
+	case (c.state == connIdle || c.state == connSilent) && age >= idleBefore:
+		rank = 0
+	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
+		rank = 1
+	case c.state == connReading && age >= stuckBefore:
+		rank = 2
+	}
+	return rank, c.state, c.since
+}
+
+// frontListener accepts clients while there are descriptors for them, and closes the connections of those that
+// have nothing open where there are not.
+type frontListener struct {
+	net.Listener
+	descriptors *Descriptors
+	closed      chan struct{}
+	once        sync.Once
+	err         error
+	mu          sync.Mutex
+	conns       map[*frontConn]struct{}
+}
+
+func (l *frontListener) Accept() (net.Conn, error) {
+	if !l.descriptors.takeFront(l.closed, l.evict) {
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		l.descriptors.releaseFront()
+		return nil, err
+	}
+	now := time.Now()
+	c := &frontConn{Conn: conn, front: l, opened: now, since: now}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// evict closes the connection that is missed least, and tells whether there was one. Guards against clients
+// that connect and say nothing, ask once and stay, or never finish: they would keep all others out. With
+// short false, only those count that have stood idle.
+func (l *frontListener) evict(short bool) bool {
+	now := time.Now()
+	var chosen *frontConn
+	var state connState
+	var since time.Time
+	lowest := 1
+	if short {
+		lowest = 3
+	}
+	l.mu.Lock()
+	for c := range l.conns {
+		if r, s, at := c.spare(now); r >= 0 && (r < lowest || chosen != nil && r == lowest && at.Before(since)) {
+			chosen, lowest, state, since = c, r, s, at
+		}
+	}
+	l.mu.Unlock()
+	return chosen != nil && chosen.evict(state, since)
+}
+
+func (l *frontListener) forget(c *frontConn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	l.descriptors.releaseFront()
+}
+
+// closeSilent closes the connections on which nothing has come.
+func (l *frontListener) closeSilent() {
+	l.mu.Lock()
+	var silent []*frontConn
+	for c := range l.conns {
+		silent = append(silent, c)
+	}
+	l.mu.Unlock()
+	for _, c := range silent {
+		c.evict(connSilent, c.opened)
+	}
+}
+
+func (l *frontListener) Close() error {
+	l.once.Do(func() { close(l.closed); l.err = l.Listener.Close() })
+	return l.err
+}
+
+// framed is how the end of a request's body is told, on the whole connection so far.
+type framed uint8
+
+const (
+	framedByLength framed = iota
+	framedByChunks        // what follows is not followed: the connection is closed after it
+	framedTwice           // by length and chunks: not to be passed on
+)
+
+// framing follows where requests begin and end in what a client sends. Guards against a request with both
+// Content-Length and Transfer-Encoding, which may hide another in its body: the library drops the length, so
+// that its handler cannot tell.
+type framing struct {
+	line             [18]byte // the beginning of the present line, in small letters
+	n                int      // of the line so far
+	value            bool     // past the first colon of the line
+	length           int64    // announced
+	hasLength, coded bool     // the head has a Content-Length, a Transfer-Encoding
+	body             int64    // bytes of a body still to come
+	heads            int      // begun so far
+	started          bool     // a head has begun
+	framed           framed
+}
+
+const (
+	nameLength = "content-length"
+	nameCoding = "transfer-encoding"
+	maxLength  = 1 << 40
+)
+
+func (f *framing) follow(b []byte) {
+	for len(b) > 0 && f.framed == framedByLength {
+		if f.body > 0 {
+			skip := min(f.body, int64(len(b)))
+			f.body -= skip
+			b = b[skip:]
+			continue
+		}
+		if !f.started {
+			f.started = true
+			f.heads++
+		}
+		f.take(b[0])
+		b = b[1:]
+	}
+}
+
+// take takes a byte of a head.
+func (f *framing) take(c byte) {
+	switch {
+	case c == '\r':
+	case c == '\n' && f.n == 0: // the empty line
+		f.endHead()
+	case c == '\n':
+		f.n, f.value = 0, false
+	case f.value:
+		if c >= '0' && c <= '9' && f.is(nameLength) && f.length < maxLength {
+			f.length = 10*f.length + int64(c-'0')
+		}
+	case c == ':':
+		f.value = true
+		if f.is(nameLength) {
+			f.hasLength, f.length = true, 0
+		}
+		f.coded = f.coded || f.is(nameCoding)
+		f.n = max(f.n, 1)
+	default:
+		if f.n < len(f.line) {
+			if c >= 'A' && c <= 'Z' {
+				c += 'a' - 'A'
+			}
+			f.line[f.n] = c
+		}
+		f.n = min(f.n+1, len(f.line)+1)
+	}
+}
+
+// is compares the name of the present line, with what may stand before the colon in a bad one.
+func (f *framing) is(name string) bool {
+	n := min(f.n, len(f.line))
+	for n > 0 && (f.line[n-1] == ' ' || f.line[n-1] == '\t') {
+		n--
+	}
+	return string(f.line[:n]) == name
+}
+
+func (f *framing) endHead() {
+	switch {
+	case f.coded && f.hasLength:
+		f.framed = framedTwice
+	case f.coded:
+		f.framed = framedByChunks
+	}
+	f.body = f.length
+	f.hasLength, f.coded, f.length, f.n, f.value, f.started = false, false, 0, 0, false, false
+}
