Module: send again to servers whose crowd is gone; no cold budget that starves itself

A trace of each refusal (not kept) showed two beliefs at odds with the sockets: servers 'slow' with 0 in flight, by latencies seen at 4 to 14 in flight up to seconds before (expected: scaled up with the queue, never down, half-life 2 s whatever the aims), and servers 'cold' after a few time-outs (swing set backAt for any down server), whose budget goes by what was sent, so that refusing lowered it further (endRound: rate).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,17 +49,20 @@
 	surgeRoots   = 2.0  // in flight at a server: the usual mean and this many roots of it
 	typicalGain  = 0.1
 	typicalStart = 8.0 // of all balancers together, until this one has its own usual count
+	carriedUp    = 0.5 // gain of what is sent in a round, where it is more than before
+	carriedDown  = 0.02
 	arrivalGain  = 0.3
 	leastBucket  = 3.0  // requests: a small balancer meets a tenant now and then, not evenly
 	latencyGain  = 0.15 // weight of a new sample of latency
 	quickStep    = 0.01
-	staleHalf    = 2 * time.Second
+	staleAims    = 4.0 // longest aims: after which what was seen has faded by half
 
 	retryRatio   = 0.2 // further attempts for each request
 	retryReserve = 20.0
 	coldMargin   = 0.4 // of the fall multiple: what this balancer uses of its part
 	poisonSpan   = 3   // distinct healthy servers that a key must fail on to be blamed itself
 	poisonHold   = 10 * time.Second
+	forgetAfter  = 2 * holdDown // after a server's end
 )
 
 var retrySpacing = [...]time.Duration{0, 30 * time.Millisecond, 90 * time.Millisecond}
@@ -76,6 +79,7 @@
 		b.classes[c.Name] = &class{Class: c}
 		b.longest = max(b.longest, c.Aim)
 	}
+	b.staleHalf = time.Duration(staleAims * float64(b.longest))
 	b.rankClasses()
 	for _, t := range set.Tenants {
 		b.tenants[t.Name] = &tenant{Tenant: t}
@@ -186,7 +190,7 @@
 	}
 	slices.SortFunc(members, func(p, q *server) int { return cmp.Compare(p.ID, q.ID) })
 	for _, s := range b.members {
-		s.member = false
+		s.member, s.leftAt = false, b.now
 	}
 	b.members, b.largest = members, 0
 	for _, s := range members {
@@ -213,6 +217,36 @@
 	b.countOut()
 }
 
+// forgetGone drops the servers that are long gone, with their points. Guards against a ring and maps that grow
+// with every release for as long as the balancer runs; a flap within that time finds its penalty kept.
+func (b *Balancer) forgetGone() {
+	known := len(b.servers)
+	maps.DeleteFunc(b.servers, func(_ string, s *server) bool {
+		gone := s.State == Gone && !s.member && s.inFlight == 0 && b.now-s.leftAt > forgetAfter
+		if gone {
+			if s.at = -s.at; b.byHash[s.hash] == s {
+				delete(b.byHash, s.hash)
+			}
+		}
+		return gone
+	})
+	if len(b.servers) == known {
+		return
+	}
+	old := b.order
+	b.ring = slices.DeleteFunc(b.ring, func(p point) bool { return b.at(p).at < 0 })
+	b.order = make([]*server, 0, len(b.servers))
+	for _, s := range old {
+		if s.at > 0 {
+			b.order = append(b.order, s)
+			s.at = len(b.order)
+		}
+	}
+	for i, p := range b.ring {
+		b.ring[i] = p>>32<<32 | point(old[uint32(p)].at-1)
+	}
+}
+
 // walk visits the distinct servers clockwise from a hash until visit returns false.
 func (b *Balancer) walk(hash uint32, visit func(*server) bool) {
 	b.walkMark++
@@ -342,17 +376,19 @@
 	if s.latency > 0 {
 		t = s.latency
 		if t > b.quick {
-			age := float64(b.now-s.sampledAt) / float64(staleHalf)
+			age := float64(b.now-s.sampledAt) / float64(b.staleHalf)
 			t = b.quick + (t-b.quick)*math.Exp2(-age)
 		}
 		const others = 2 // stands for what other balancers have in flight there
 		if f := (float64(s.inFlight) + 1 + others) / (s.latencyAtN + others); f > 1 {
 			t *= f
+		} else if t > b.quick { // its queue has run empty since: what was slow for its crowd is not left idle
+			t = b.quick + (t-b.quick)*f
 		}
 	}
 	if b.lies <= floorShare { // a probe in the queue waits as long as a request would
 		wait := time.Duration(0)
-		if b.now-s.heardAt < staleHalf {
+		if b.now-s.heardAt < b.staleHalf {
 			wait = s.probeTime
 		}
 		if s.probeOut {
@@ -375,11 +411,11 @@
 
 // thin tells whether this balancer sends a server less than one request in the time that what it saw itself
 // lasts: then it goes by what servers say when asked, and in answers, else by its own counts and times.
-func (b *Balancer) thin() bool { return b.rate*staleHalf.Seconds() < b.ringSize() }
+func (b *Balancer) thin() bool { return b.rate*b.staleHalf.Seconds() < b.ringSize() }
 
 // reported tells whether the server said lately how many requests it holds, and that is to count.
 func (b *Balancer) reported(s *server) bool {
-	return s.heldAt > 0 && b.now-s.heldAt < staleHalf && b.thin()
+	return s.heldAt > 0 && b.now-s.heldAt < b.staleHalf && b.thin()
 }
 
 // crowded tells whether an owner passes the request on: over the bounded load while no longer quick (below
@@ -492,7 +528,7 @@
 		limit = min(limit, aimed) // an answer after the aim is worth nothing and keeps the server busy
 	}
 	held, despite := -1.0, time.Duration(0)
-	if s.probeFailedAt > 0 && b.now-s.probeFailedAt < staleHalf {
+	if s.probeFailedAt > 0 && b.now-s.probeFailedAt < b.staleHalf {
 		despite = s.probeTime // an answer sooner than this contradicts the probe's silence
 		if s.probeSays == ServerError || s.probeSays == NoConnection {
 			despite = r.class.Deadline // any answer contradicts an error
@@ -596,6 +632,7 @@
 		if s.down {
 			b.swing(s, false)
 		}
+		s.refused = 0
 		return
 	case TurnedAway, ServerError, ConnectionLost:
 		s.silentSince = b.now
@@ -611,6 +648,11 @@
 	// A failure counts as an answer near the aim. Guards against servers that fail quickly and so look idle.
 	b.sample(s, max(e.Latency.Seconds(), failShare*r.class.Aim.Seconds()), a.load)
 	s.failed++
+	if e.Outcome == NoConnection {
+		s.refused++
+	} else {
+		s.refused = 0 // it runs, however badly
+	}
 	if s.failures++; e.Outcome == NoConnection || e.Outcome == ConnectionLost {
 		s.failures += 0.5
 	}
@@ -647,7 +689,10 @@
 	if down {
 		b.log("down %s", s.ID)
 	} else {
-		s.backAt, s.failures = b.now, 0
+		if s.refused > 1 {
+			s.backAt = b.now
+		}
+		s.failures = 0
 		b.log("up %s", s.ID)
 	}
 	b.startCold(s)
@@ -666,7 +711,13 @@
 		}
 		s.sent, s.failed = 0, 0
 	}
-	b.rate += typicalGain * (b.sentRound - b.rate)
+	// Up fast and down slowly: what is held back because servers look slow or cold must not make it look as if a
+	// warm server carried that little, or the cold ones among them would be starved for good.
+	gain := carriedUp
+	if b.sentRound < b.rate {
+		gain = carriedDown
+	}
+	b.rate += gain * (b.sentRound - b.rate)
 	b.countInFlight(0)
 	b.typical += typicalGain * (b.area/roundLength.Seconds()/b.ringSize() - b.typical)
 	b.area, b.sentRound = 0, 0
@@ -678,6 +729,7 @@
 		b.tell(rateMessage(b.meanArrivals))
 	}
 	maps.DeleteFunc(b.keys, func(_ uint32, k *blame) bool { return b.now > max(k.at+poisonHold, k.until) })
+	b.forgetGone()
 	b.countOut()
 	if b.askAgain > 0 && b.now >= b.askAgain {
 		b.ask()
@@ -728,8 +780,8 @@
 	return true
 }
 
-// warmth is the share of its capacity that a server surely has: by its listed start, or by its return after
-// being down here, since a process that was gone likely comes back cold whatever the list says.
+// warmth is the share of its capacity that a server surely has: by its listed start, or by its return after no
+// connection came up, since a process that was gone likely comes back cold whatever the list says.
 func (b *Balancer) warmth(s *server) float64 {
 	since := max(s.backAt, s.Started)
 	age := b.now - since
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -198,7 +198,7 @@
 		}
 		s := b.members[0]
 		b.inFlight += c.inFlight - c.others
-		s.inFlight = c.inFlight
+		s.inFlight, s.latencyAtN = c.inFlight, float64(c.inFlight+1)
 		r := &request{class: b.classes["safe"], aimBy: b.now + 400*ms, deadline: b.now + time.Second}
 		if got := b.crowded(r, s, b.expected(s), b.hardTime(r)); got != c.crowded {
 			t.Errorf("%s: crowded %v", c.name, got)
@@ -1069,3 +1069,95 @@
 		t.Errorf("empty list: %+v", acts)
 	}
 }
+
+// A day of releases leaves nothing behind of servers that are gone; the others keep their points and numbers.
+func TestGoneServersAreForgotten(t *testing.T) {
+	b := start(t, settings(), list(5))
+	want := ""
+	for i := range 200 {
+		want += b.owner(uint32(i)<<24).ID + " "
+	}
+	now := time.Second
+	for i := range 100 {
+		id := fmt.Sprint("new", i)
+		b.Step(now, &Membership{Kind: SyncChange, Servers: []Server{{ID: id, Zone: "z0", Weight: 1, Started: now}}})
+		b.Step(now, &Request{ID: uint32(i), Class: "safe", Key: id, Budget: time.Second})
+		now += time.Second
+		b.Step(now, &Membership{Kind: SyncChange, Servers: []Server{{ID: id, State: Gone}}})
+		if r := b.requests[uint32(i)]; r != nil {
+			b.Step(now, &AttemptDone{ID: uint32(i), Server: r.attempts[0].server.ID, Outcome: Served, Finished: true})
+		}
+		b.Step(now, &TimerDue{Tag: tagRound})
+	}
+	if n := len(b.servers); n > 5+int(forgetAfter/time.Second)+2 || len(b.byHash) != n || len(b.order) != n ||
+		len(b.ring) != n*replicaPoints {
+		t.Errorf("%d servers, %d by hash, %d numbered, %d points", n, len(b.byHash), len(b.order), len(b.ring))
+	}
+	got := ""
+	for i := range 200 {
+		got += b.owner(uint32(i)<<24).ID + " "
+	}
+	if got != want {
+		t.Errorf("owners %q, want %q", got, want)
+	}
+}
+
+// What servers carry is known after a round or two, and not forgotten while little is sent: the cold ones' budget
+// goes by it, and would be held down by itself. A server that answered badly runs, and does not come back cold.
+func TestColdBudgetIsNotHeldDownByItself(t *testing.T) {
+	b := start(t, settings(), list(4))
+	now := time.Duration(0)
+	round := func(sends float64) {
+		now += roundLength
+		b.sentRound = sends
+		b.Step(now, &TimerDue{Tag: tagRound})
+	}
+	round(100)
+	round(100)
+	if b.rate < 70 {
+		t.Errorf("%.0f a second after two rounds of 100", b.rate)
+	}
+	for range 10 {
+		round(0)
+	}
+	if b.rate < 55 {
+		t.Errorf("%.0f a second after ten idle rounds", b.rate)
+	}
+	for outcome, cold := range map[Outcome]bool{NoConnection: true, NoAnswer: false, ServerError: false} {
+		b := start(t, settings(), list(4))
+		s, r := b.members[0], &request{class: b.classes["safe"]}
+		learn := func(o Outcome) {
+			b.now += 300 * ms
+			b.learn(r, &attempt{server: s, sent: b.now}, &AttemptDone{Outcome: o, Latency: 10 * ms})
+		}
+		for range failuresToDown {
+			learn(outcome)
+		}
+		if down := s.down; !down {
+			t.Errorf("outcome %d: not down", outcome)
+		}
+		learn(Served)
+		if got := b.warmth(s) < 1; got != cold || s.down {
+			t.Errorf("outcome %d: cold %v, down %v", outcome, got, s.down)
+		}
+	}
+}
+
+// What was slow for its crowd is not left idle: with nothing in flight there, the queue's part of the time that
+// was seen is taken off, and what was seen fades within a few aims.
+func TestSlowForItsCrowd(t *testing.T) {
+	b := start(t, settings(), list(4))
+	b.now, b.quick = time.Minute, 0.05
+	s := b.members[0]
+	s.latency, s.latencyAtN, s.sampledAt = 0.3, 18, b.now
+	empty := b.expected(s)
+	s.inFlight, s.silentSince = 18, b.now
+	if full := b.expected(s); empty > 0.15 || full < 0.3 {
+		t.Errorf("%.3f s expected with nothing in flight, %.3f s with as many as before", empty, full)
+	}
+	s.inFlight, s.latencyAtN = 0, 1
+	b.now += b.staleHalf
+	if got := b.expected(s); b.staleHalf != 3200*ms || math.Abs(got-0.175) > 0.001 {
+		t.Errorf("%.3f s after %v", got, b.staleHalf)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,10 +23,10 @@
 	now     time.Duration
 	acts    []Action
 
-	servers   map[string]*server // every server ever listed
+	servers   map[string]*server // those listed, and for a while those that were
 	byHash    map[uint32]*server
 	order     []*server // the same, as the ring numbers them
-	ring      []point   // of every server ever listed; walk passes over those that are not members
+	ring      []point   // of all of them; walk passes over those that are not members
 	members   []*server // the ready servers, by id
 	walkMark  uint64
 	hardShare float64 // of the aim: see rankClasses
@@ -46,6 +46,7 @@
 	answers                      float64
 	meanWait                     float64       // of probes
 	longest                      time.Duration // aim of a class
+	staleHalf                    time.Duration // in which what was seen of a server fades by half
 	latency                      float64       // mean over all servers, seconds
 	quick                        float64       // the time below which a quarter of all answers come
 	meanWork                     float64       // mean of the hints
@@ -158,6 +159,7 @@
 	at      int // its number on the ring, counted from one
 	member  bool
 	drained bool
+	leftAt  time.Duration // the ring; zero: never on it
 	mark    uint64
 
 	inFlight    int
@@ -169,6 +171,7 @@
 
 	sent, failed  int // in this round
 	failures      float64
+	refused       int // connections one after another that did not come up
 	down          bool
 	held          float64 // requests, by its own report
 	heldAt        time.Duration
@@ -179,7 +182,7 @@
 	probeFailedAt time.Duration
 	heardAt       time.Duration // last answer to a request or probe
 	waiting       []*request    // held for the probe's answer
-	backAt        time.Duration // first served after being down
+	backAt        time.Duration // first served after no connection came up
 	penalty       float64
 	penaltyAt     time.Duration
 	dampedUntil   time.Duration
