--- a/decide/decide.go
+++ b/decide/decide.go
@@ -65,7 +65,8 @@
 	forgetAfter  = 2 * holdDown // after a server's end
 )
 
-var retrySpacing = [...]time.Duration{0, 30 * time.Millisecond, 90 * time.Millisecond}
+// retrySpacing is in aims.
+var retrySpacing = [...]float64{0, 0.06, 0.18}
 
 // New returns a Balancer that knows no servers yet.
 func New(set Settings, seed uint64) (*Balancer, error) {
@@ -573,8 +574,9 @@
 // again retries where the class allows it, the aim leaves time and retries are not crowding out first tries.
 func (b *Balancer) again(r *request) {
 	n := len(r.attempts)
-	wait := retrySpacing[min(n-1, len(retrySpacing)-1)]
-	if n >= b.set.Limits.MaxAttempts || b.tokens < 1 || b.hardTime(r) < b.latency+wait.Seconds() {
+	wait := time.Duration(retrySpacing[min(n-1, len(retrySpacing)-1)] * float64(r.class.Aim))
+	// What is too slow for a further attempt is for pick to say; the mean holds failures too.
+	if left := r.aimBy - b.now - wait; n >= b.set.Limits.MaxAttempts || b.tokens < 1 || left.Seconds() < b.latency {
 		b.giveUp(r)
 		return
 	}
