Module: a kind of machine gets keys by how quick it has been

The list gives all machines the same size (weight 3.00), while one kind is half as quick: it got the same keys (fits). Now the share of a kind's keys goes by its pace, the time below which a quarter of its answers come; what does not fit is still taken where the quick ones are crowded.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,7 +55,9 @@
 	leastBucket  = 3.0  // requests: a small balancer meets a tenant now and then, not evenly
 	latencyGain  = 0.15 // weight of a new sample of latency
 	quickStep    = 0.01
-	staleAims    = 4.0 // longest aims: after which what was seen has faded by half
+	kindAnswers  = 50   // before a kind of machine is taken for the quickest
+	leastSpeed   = 0.25 // of the quickest kind's
+	staleAims    = 4.0  // longest aims: after which what was seen has faded by half
 
 	retryRatio   = 0.2 // further attempts for each request
 	retryReserve = 20.0
@@ -193,10 +195,10 @@
 	for _, s := range b.members {
 		s.member, s.leftAt = false, b.now
 	}
-	b.members, b.largest = members, 0
+	b.members = members
+	b.measure()
 	for _, s := range members {
 		s.member = true
-		b.largest = max(b.largest, s.Weight)
 		if s.at == 0 {
 			fresh = append(fresh, s)
 		}
@@ -298,15 +300,15 @@
 		}
 	}
 	b.walk(hash, func(s *server) bool {
-		if !b.lawful(r, s) || !b.fits(hash, s) {
+		if !b.lawful(r, s) {
 			return true
 		}
 		ok, try := b.trusted(r, s)
 		if !ok || !b.coldRoom(s, try) {
 			return true
 		}
-		t := b.expected(s)
-		if try || !b.crowded(r, s, t, limit) {
+		t, fits := b.expected(s), b.fits(hash, s)
+		if fits && (try || !b.crowded(r, s, t, limit)) {
 			chosen = s
 			return false
 		}
@@ -316,7 +318,9 @@
 		if t < bestTime {
 			best, bestTime = s, t
 		}
-		looked++
+		if fits {
+			looked++
+		}
 		return looked < spillSpan || bestTime > limit
 	})
 	if chosen == nil && bestTime <= limit {
@@ -326,8 +330,8 @@
 	if chosen == nil && mute != nil && b.rng.Float64() < testShare {
 		chosen, r.tests = mute, true
 	}
-	if chosen == nil && b.quick > r.class.hard {
-		b.quick *= 0.9 // or a fleet that looks slow, to which nothing is sent, would never be tried again
+	if chosen == nil && b.pace.quick > r.class.hard {
+		b.pace.quick *= 0.9 // or a fleet that looks slow, to which nothing is sent, would never be tried again
 	}
 	return chosen
 }
@@ -342,7 +346,29 @@
 // where own counts are too few to show it; a size listed wrongly moves keys for nothing.
 func (b *Balancer) fits(hash uint32, s *server) bool {
 	lot := (hash ^ s.hash) * 0x9E3779B1 // spreads the bits
-	return float64(lot)/(1<<32)*b.largest <= s.Weight
+	return float64(lot)/(1<<32)*b.largest <= b.size(s)
+}
+
+// size is a server's listed size, by how quick its kind of machine has been.
+func (b *Balancer) size(s *server) float64 {
+	if k := b.kinds[s.Kind]; k != nil && k.quick > 0 && b.quickest > 0 {
+		return s.Weight * min(max(b.quickest/k.quick, leastSpeed), 1)
+	}
+	return s.Weight
+}
+
+// measure finds the quickest kind of machine, and the largest size among the members.
+func (b *Balancer) measure() {
+	b.quickest = 0
+	for _, k := range b.kinds {
+		if k.answers >= kindAnswers && (b.quickest == 0 || k.quick < b.quickest) {
+			b.quickest = k.quick
+		}
+	}
+	b.largest = 0
+	for _, s := range b.members {
+		b.largest = max(b.largest, b.size(s))
+	}
 }
 
 // lawful keeps the rules: no draining or gone server, no second visit, no repeat outside its group.
@@ -373,18 +399,18 @@
 // in flight, fading to the fleet's quick time when old; never less than the present silence, nor than what a
 // probe or report says. Guards against slow, crowded and silent servers; a rare heavy request looks so too.
 func (b *Balancer) expected(s *server) float64 {
-	t := b.quick
+	t := b.pace.quick
 	if s.latency > 0 {
 		t = s.latency
-		if t > b.quick {
+		if t > b.pace.quick {
 			age := float64(b.now-s.sampledAt) / float64(b.staleHalf)
-			t = b.quick + (t-b.quick)*math.Exp2(-age)
+			t = b.pace.quick + (t-b.pace.quick)*math.Exp2(-age)
 		}
 		const others = 2 // stands for what other balancers have in flight there
 		if f := (float64(s.inFlight) + 1 + others) / (s.latencyAtN + others); f > 1 {
 			t *= f
-		} else if t > b.quick { // its queue has run empty since: what was slow for its crowd is not left idle
-			t = b.quick + (t-b.quick)*f
+		} else if t > b.pace.quick { // its queue has run empty since: what was slow for its crowd is not left idle
+			t = b.pace.quick + (t-b.pace.quick)*f
 		}
 	}
 	if b.lies <= floorShare { // a probe in the queue waits as long as a request would
@@ -395,14 +421,14 @@
 		if s.probeOut {
 			wait = max(wait, b.now-s.probedAt)
 		}
-		t = max(t, b.quick+wait.Seconds())
+		t = max(t, b.pace.quick+wait.Seconds())
 		if s.probeFailedAt > 0 && b.now-s.probeFailedAt < roundLength {
 			return math.Inf(1)
 		}
 	}
 	if b.reported(s) {
 		z := b.zone(s)
-		t = max(t, b.quick+z.wait/max(z.held, 0.1)*s.held)
+		t = max(t, b.pace.quick+z.wait/max(z.held, 0.1)*s.held)
 	}
 	if s.inFlight > 0 {
 		t = max(t, (b.now - s.silentSince).Seconds())
@@ -437,9 +463,9 @@
 // hardTime is the longest expected time at which the request is still sent.
 func (b *Balancer) hardTime(r *request) float64 {
 	t := min(r.class.hard, b.hardShare*(min(r.aimBy, r.deadline)-b.now).Seconds())
-	if r.low && t > b.quick { // a share of the queue: what even an idle server takes is not counted
-		if t = b.quick + lowShare*(t-b.quick); !b.set.Limits.Peers {
-			t += (1 - lowShare) / 2 / lowShare * (t - b.quick) // the mark is a guess: see overQuota
+	if r.low && t > b.pace.quick { // a share of the queue: what even an idle server takes is not counted
+		if t = b.pace.quick + lowShare*(t-b.pace.quick); !b.set.Limits.Peers {
+			t += (1 - lowShare) / 2 / lowShare * (t - b.pace.quick) // the mark is a guess: see overQuota
 		}
 	}
 	return t
@@ -492,7 +518,7 @@
 		s = b.pick(r)
 	}
 	switch {
-	case s != nil && (!b.unknown(r, s) || r.asks == askSpan && b.quick+b.meanWait <= b.hardTime(r)):
+	case s != nil && (!b.unknown(r, s) || r.asks == askSpan && b.pace.quick+b.meanWait <= b.hardTime(r)):
 		b.send(r, s)
 	case s != nil && r.asks < askSpan:
 		b.askFirst(r, s)
@@ -612,7 +638,7 @@
 	b.report(s, e.Load)
 	if a.held >= 0 && (e.Outcome == Served || e.Outcome == NoAnswer) {
 		z := b.zone(s)
-		z.wait += reportGain * (max(e.Latency.Seconds()-b.quick, 0) - z.wait)
+		z.wait += reportGain * (max(e.Latency.Seconds()-b.pace.quick, 0) - z.wait)
 		z.held += reportGain * (a.held - z.held)
 	}
 	if a.despite > 0 { // what a failed probe said was not heeded: true, unless served sooner than its silence
@@ -628,7 +654,8 @@
 	case Served:
 		s.silentSince, s.heardAt, s.probeTime = b.now, b.now, 0
 		b.sample(s, e.Latency.Seconds(), a.load)
-		b.fleetSample(e.Latency.Seconds())
+		b.pace.sample(e.Latency.Seconds())
+		b.kind(s).sample(e.Latency.Seconds())
 		s.lastServed, s.failures = b.now, 0
 		delete(b.keys, r.hash)
 		if s.down {
@@ -672,18 +699,6 @@
 	b.latency += latencyGain / b.ringSize() * (t - b.latency)
 }
 
-// fleetSample takes in an answer; failures say nothing of how quick the fleet can be. The first answers count
-// for more, or a balancer that sees one a second would go by its first one all day.
-func (b *Balancer) fleetSample(t float64) {
-	b.answers++
-	step := max(quickStep, 0.5/b.answers)
-	b.quick = cmp.Or(b.quick, t)
-	b.quick *= 1 + step
-	if t < b.quick {
-		b.quick *= 1 - min(4*step, 0.75) // so it settles where a quarter of the samples lie below
-	}
-}
-
 // swing changes a server's state for this balancer and raises its penalty.
 func (b *Balancer) swing(s *server, down bool) {
 	s.down = down
@@ -732,6 +747,7 @@
 	}
 	maps.DeleteFunc(b.keys, func(_ uint32, k *blame) bool { return b.now > max(k.at+poisonHold, k.until) })
 	b.forgetGone()
+	b.measure()
 	b.countOut()
 	if b.askAgain > 0 && b.now >= b.askAgain {
 		b.ask()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1005,7 +1005,7 @@
 // Reports of a full house lose their weight in a zone whose answers stay quick, and keep it where they don't.
 func TestReportsAreWeighedByWhatFollows(t *testing.T) {
 	b := start(t, settings(), list(6))
-	b.quick = 0.02
+	b.pace.quick = 0.02
 	for id := range uint32(200) {
 		for _, s := range []*server{b.servers["s0"], b.servers["s1"]} { // zones z0, which lies, and z1
 			b.now += 50 * ms
@@ -1147,7 +1147,7 @@
 // was seen is taken off, and what was seen fades within a few aims.
 func TestSlowForItsCrowd(t *testing.T) {
 	b := start(t, settings(), list(4))
-	b.now, b.quick = time.Minute, 0.05
+	b.now, b.pace.quick = time.Minute, 0.05
 	s := b.members[0]
 	s.latency, s.latencyAtN, s.sampledAt = 0.3, 18, b.now
 	empty := b.expected(s)
@@ -1161,3 +1161,50 @@
 		t.Errorf("%.3f s after %v", got, b.staleHalf)
 	}
 }
+
+// A slow kind of machine gets the keys that its pace leaves it, and still takes what the quick ones have no room
+// for. Guards against slow machines that are full, and their heavy requests late, while quick ones idle.
+func TestSizesGoByTheKindsPace(t *testing.T) {
+	servers := list(6)
+	for i := range servers {
+		servers[i].Kind = []string{"rapid", "lent"}[i%2]
+	}
+	b := start(t, settings(), servers)
+	now := time.Second
+	ask := func(i int) (*server, uint32) {
+		id := uint32(i + 1)
+		a := mustSend(t, b.Step(now, &Request{ID: id, Class: "safe", Key: fmt.Sprint("k", i), Budget: time.Second}))
+		return b.servers[a.Server], id
+	}
+	slow := 0
+	for i := range 2000 {
+		now += 5 * ms
+		s, id := ask(i)
+		took := 10 * ms
+		if s.Kind == "lent" {
+			took = 30 * ms
+			if i >= 1000 {
+				slow++
+			}
+		}
+		b.Step(now+took, &AttemptDone{ID: id, Server: s.ID, Outcome: Served, Latency: took, Finished: true})
+		if i%100 == 0 {
+			b.Step(now, &TimerDue{Tag: tagRound})
+		}
+	}
+	if slow < 150 || slow > 350 { // a quarter, by three to one
+		t.Errorf("%d of 1000 went to machines of a third of the pace", slow)
+	}
+	for _, s := range b.members {
+		if s.Kind == "rapid" {
+			s.inFlight, s.silentSince = 50, now-time.Second
+		}
+	}
+	for i := range 50 {
+		s, id := ask(3000 + i)
+		if s.Kind != "lent" {
+			t.Fatal("sent to a machine that has been silent for a second")
+		}
+		b.Step(now, &AttemptDone{ID: id, Server: s.ID, Outcome: Served, Latency: 30 * ms, Finished: true})
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -30,7 +31,6 @@
 	members   []*server // the ready servers, by id
 	walkMark  uint64
 	hardShare float64 // of the aim: see rankClasses
-	largest   float64 // listed size of a member
 	out       int     // members that are down or damped
 	inFlight  int
 
@@ -41,17 +41,18 @@
 	started                      bool
 	askAgain                     time.Duration // zero: not to be asked again
 	zones                        map[string]*zone
-	meanHeld                     float64 // of the servers' reports
-	lies                         float64 // part of the sends in spite of a failed probe that were served
-	answers                      float64
-	meanWait                     float64       // of probes
-	longest                      time.Duration // aim of a class
-	staleHalf                    time.Duration // in which what was seen of a server fades by half
-	latency                      float64       // mean over all servers, seconds
-	quick                        float64       // the time below which a quarter of all answers come
-	meanWork                     float64       // mean of the hints
-	rate, sentRound              float64       // work units sent a second, and in this round
-	typical, area                float64       // usual mean in flight at a server; time in flight in this round
+	kinds                        map[string]*pace // of machine, as listed
+	meanHeld                     float64          // of the servers' reports
+	lies                         float64          // part of the sends in spite of a failed probe that were served
+	meanWait                     float64          // of probes
+	longest                      time.Duration    // aim of a class
+	staleHalf                    time.Duration    // in which what was seen of a server fades by half
+	latency                      float64          // mean over all servers, seconds
+	pace                         pace             // of all answers
+	quickest, largest            float64          // the least quick time of a kind; the largest size of a member
+	meanWork                     float64          // mean of the hints
+	rate, sentRound              float64          // work units sent a second, and in this round
+	typical, area                float64          // usual mean in flight at a server; time in flight in this round
 	areaAt                       time.Duration
 	arrivals, came, meanArrivals float64 // requests a second, in this round, and the mean over all balancers
 	quotas                       float64
@@ -60,7 +61,7 @@
 func newBalancer(set Settings, seed uint64) *Balancer {
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x5072656c)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, servers: map[string]*server{}, byHash: map[uint32]*server{},
-		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{}}
+		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{}, kinds: map[string]*pace{}}
 }
 
 func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
@@ -104,7 +105,7 @@
 func (b *Balancer) zone(s *server) *zone {
 	z := b.zones[s.Zone]
 	if z == nil {
-		z = &zone{wait: reportPrior * b.quick, held: 1}
+		z = &zone{wait: reportPrior * b.pace.quick, held: 1}
 		b.zones[s.Zone] = z
 	}
 	return z
@@ -147,6 +148,31 @@
 // A zone's means: of the wait beyond the quick time, and of the requests that its servers said they held.
 type zone struct{ wait, held float64 }
 
+// A pace is the time below which a quarter of the answers come.
+type pace struct{ quick, answers float64 }
+
+// sample takes in an answer; failures say nothing of how quick a server can be. The first answers count for
+// more, or a balancer that sees one a second would go by its first one all day.
+func (p *pace) sample(t float64) {
+	p.answers++
+	step := max(quickStep, 0.5/p.answers)
+	p.quick = cmp.Or(p.quick, t)
+	p.quick *= 1 + step
+	if t < p.quick {
+		p.quick *= 1 - min(4*step, 0.75) // so it settles where a quarter of the samples lie below
+	}
+}
+
+// kind is the pace of a server's kind of machine.
+func (b *Balancer) kind(s *server) *pace {
+	k := b.kinds[s.Kind]
+	if k == nil {
+		k = &pace{}
+		b.kinds[s.Kind] = k
+	}
+	return k
+}
+
 type tenant struct {
 	Tenant
 	bucket float64
