--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,9 @@
 	retryRatio   = 0.2 // further attempts for each request
 	retryReserve = 20.0
 	coldMargin   = 0.4 // of the fall multiple: what this balancer uses of its part
-	poisonSpan   = 3   // distinct healthy servers that a key must fail on to be blamed itself
+	failGain     = 0.005
+	blameShare   = 0.02 // of the attempts: where more fail, it is no key's fault
+	poisonSpan   = 3    // distinct healthy servers that a key must fail on to be blamed itself
 	poisonHold   = 10 * time.Second
 	forgetAfter  = 2 * holdDown // after a server's end
 )
@@ -652,6 +654,7 @@
 		s.sent--
 		return
 	case Served:
+		b.failing -= failGain * b.failing
 		s.silentSince, s.heardAt, s.probeTime = b.now, b.now, 0
 		b.sample(s, e.Latency.Seconds(), a.load)
 		b.pace.sample(e.Latency.Seconds())
@@ -671,6 +674,7 @@
 		s.failed++
 		return
 	}
+	b.failing += failGain * (1 - b.failing)
 	if r.keyed && e.Outcome != NoConnection && b.blameKey(r.hash, s, a.sent) {
 		return
 	}
@@ -766,9 +770,10 @@
 }
 
 // blameKey notes a key's failure on a server that answers others, and tells whether the key is to blame: it
-// failed on several. Guards against requests that break whichever server gets them; unlucky keys suffer too.
+// failed on several. Guards against requests that break whichever server gets them. Where attempts fail right and
+// left, whatever their keys, an unlucky key proves nothing.
 func (b *Balancer) blameKey(key uint32, s *server, sent time.Duration) bool {
-	if s.lastServed+roundLength < sent {
+	if s.lastServed+roundLength < sent || b.failing > blameShare {
 		return false
 	}
 	bl := b.keys[key]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -499,11 +499,12 @@
 
 // A key that fails on healthy servers is blamed; one whose servers are all silent is not.
 func TestPoisonousKey(t *testing.T) {
-	for _, healthy := range []bool{true, false} {
+	for i, healthy := range []bool{true, false, false} {
 		b := start(t, settings(), list(8))
+		b.failing = float64(i/2) * 0.05 // the last time the servers answer, but many attempts fail
 		now := time.Minute
 		for _, s := range b.members {
-			if healthy {
+			if healthy || i == 2 {
 				s.lastServed = now
 			}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,6 +48,7 @@
 	longest                      time.Duration    // aim of a class
 	staleHalf                    time.Duration    // in which what was seen of a server fades by half
 	latency                      float64          // mean over all servers, seconds
+	failing                      float64          // part of the latest attempts that failed
 	pace                         pace             // of all answers
 	quickest, largest            float64          // the least quick time of a kind; the largest size of a member
 	meanWork                     float64          // mean of the hints
