Front socket: close with the answer where clients crowd it; fading capped at 2 s

A trace of what clients' connections are at: 122 to 128 idle and under 2 s old, just the third of 384 descriptors that clients may hold, later 213 to 220, the front's whole share, idle after /health/ready. They asked once and kept their connections faster than these may stand idle; those that can't connect gave no accept at which to look (at fault: takeFront, which only evicts at an accept, and spare).

Now a close comes with the answer from a sixth on, a timer closes what stands idle, and idle ones go after 150 ms where none is left. What the module saw fades in 2 s at most: with aims of a minute TestDescriptorsAreBounded showed a server left alone for minutes.

--- a/cmd/dunestep/operations_test.go
+++ b/cmd/dunestep/operations_test.go
@@ -389,6 +389,31 @@
 	}
 }
 
+// Guards against clients that ask once and keep their connections, faster than these may stand idle: where they
+// crowd the front, a close comes with the answer. All others keep theirs.
+func TestCrowdedFrontClosesWithTheAnswer(t *testing.T) {
+	w := start(t, 1, func(w *world) { w.config["limits"].(object)["sockets"] = 64 })
+	http.DefaultClient.CloseIdleConnections()
+	for i := range 20 {
+		r := w.request("consult", 900)
+		if i%2 == 1 {
+			r.URL.Path = "/health/live"
+		}
+		client := http.Client{Transport: &http.Transport{}}
+		resp, err := client.Do(r)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, 200, resp.StatusCode)
+		if i < 2 {
+			require.False(t, resp.Close)
+		} else if i >= 18 {
+			require.True(t, resp.Close)
+		}
+		defer client.CloseIdleConnections()
+	}
+}
+
 // A client that does not get on is owed an error or a close within 3 s of connecting.
 func TestSlowClientsAreCutOff(t *testing.T) {
 	w := start(t, 1)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,6 +58,7 @@
 	kindAnswers  = 50   // before a kind of machine is taken for the quickest
 	leastSpeed   = 0.25 // of the quickest kind's
 	staleAims    = 4.0  // longest aims: after which what was seen has faded by half
+	staleMost    = 2 * time.Second
 
 	retryRatio   = 0.2 // further attempts for each request
 	retryReserve = 20.0
@@ -84,7 +85,7 @@
 		b.classes[c.Name] = &class{Class: c}
 		b.longest = max(b.longest, c.Aim)
 	}
-	b.staleHalf = time.Duration(staleAims * float64(b.longest))
+	b.staleHalf = min(time.Duration(staleAims*float64(b.longest)), staleMost)
 	b.rankClasses()
 	for _, t := range set.Tenants {
 		b.tenants[t.Name] = &tenant{Tenant: t}
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -13,6 +13,10 @@
 // evictAgain is how soon it is looked again for a client's connection to close.
 const evictAgain = 20 * time.Millisecond
 
+// Up to the first of these parts of all descriptors, idle clients are left alone; from the second one on, no
+// connection is kept after an answer.
+const frontEasy, frontPressing = 6, 4
+
 // Descriptors shares the process's file descriptors between the front socket and the upstream connections.
 // Guards against running out of them, which would fail accepts and dials alike. The front has up to five eighths:
 // clients hold a third of the limit for requests, the rest stand idle. An eighth is always its own.
@@ -39,7 +43,8 @@
 	d.mu.Unlock()
 }
 
-// tryFront takes a descriptor for a client. Full tells that the front has its whole share, or almost.
+// tryFront takes a descriptor for a client. Full tells, with
+// true, that idle clients are to give way, and with false, that the front has its whole share.
 func (d *Descriptors) tryFront() (ok, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -48,7 +53,16 @@
 		return false, d.front >= share
 	}
 	d.front++
-	return true, d.front > share*3/4
+	return true, d.front > d.total/frontEasy
+}
+
+// frontCrowded tells whether idle clients are to give way, and whether that is pressing. Guards against clients
+// that are kept out by the idle connections of their own machine, long before the front's share is used: they may
+// hold a third of the limit, and those that can't connect give no occasion to look.
+func (d *Descriptors) frontCrowded() (crowded, pressing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.front > d.total/frontEasy, d.front > d.total/frontPressing
 }
 
 // takeFront waits until the front may hold one more, or closed is. Evict closes a client's connection on which
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -55,8 +55,10 @@
 			case framed == framedTwice:
 				f.answer(w, protocol.Answer{Kind: protocol.Malformed, Body: []byte("two lengths\n")})
 			case r.URL.Path == "/health/ready":
+				conn.closeWith(w.Header())
 				f.ready(w)
 			case r.URL.Path == "/health/live":
+				conn.closeWith(w.Header())
 			default:
 				f.operate(w, r, conn, until)
 			}
@@ -124,6 +126,7 @@
 	if !owed {
 		panic(http.ErrAbortHandler) // closes the connection: a return would write an empty 200
 	}
+	conn.closeWith(w.Header())
 	f.answer(w, answer)
 }
 
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -45,6 +46,8 @@
 	since   time.Time // of the state
 	linger  bool      // an error was answered while the client may still be sending
 	framing framing
+	// standing waits until the connection has stood idle for long enough to be closed.
+	standing *time.Timer
 }
 
 // Read follows the framing of what comes. A connection that was evicted meanwhile gives nothing any more: a
@@ -103,12 +106,36 @@
 	return began
 }
 
+// closeWith announces a close with the answer where the connection is to give way. Guards against clients that
+// ask once and keep their connection: where they come in numbers, there is no time to let each stand idle first.
+// Clients that have asked again keep theirs for longer.
+func (c *frontConn) closeWith(answer http.Header) {
+	crowded, pressing := c.front.descriptors.frontCrowded()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if pressing || crowded && c.framing.heads <= 1 {
+		answer.Set("Connection", "close")
+	}
+}
+
 // idle tells that an answer was written.
 func (c *frontConn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enter(connIdle)
 	c.linger = false
+	if c.state == connClosed {
+		return
+	}
+	since := c.since
+	if c.standing != nil {
+		c.standing.Stop()
+	}
+	c.standing = time.AfterFunc(idleBefore, func() {
+		if crowded, _ := c.front.descriptors.frontCrowded(); crowded {
+			c.evict(connIdle, since)
+		}
+	})
 }
 
 // Close ends the connection. Guards against an error that never arrives: a close with unread input resets the
@@ -145,6 +172,9 @@
 	c.mu.Lock()
 	again := c.state == connClosed
 	c.state = connClosed
+	if c.standing != nil {
+		c.standing.Stop()
+	}
 	c.mu.Unlock()
 	if !again {
 		c.front.forget(c)
@@ -180,6 +210,8 @@
 		rank = 1
 	case c.state == connReading && age >= stuckBefore:
 		rank = 2
+	case c.state == connIdle && age >= silentBefore: // a request that crosses the close is sent again
+		rank = 3
 	}
 	return rank, c.state, c.since
 }
@@ -223,7 +255,7 @@
 	var since time.Time
 	lowest := 1
 	if short {
-		lowest = 3
+		lowest = 4
 	}
 	l.mu.Lock()
 	for c := range l.conns {
