--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -105,8 +105,8 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
 }
 
-// reload reads the configuration's file again and takes over discovery's address and the limits. What is in use
-// stays so where the file cannot be used.
+// reload reads the configuration's file again and takes over discovery's address and the limits. What is in
+// use stays so where the file cannot be used.
 func reload(agent *routing.Agent, descriptors *transport.Descriptors) {
 	c, err := readConfig(os.Getenv("LB_CONFIG"))
 	if err != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -223,8 +223,8 @@
 	b.countOut()
 }
 
-// forgetGone drops the servers that are long gone, with their points. Guards against a ring and maps that grow
-// with every release for as long as the balancer runs; a flap within that time finds its penalty kept.
+// forgetGone drops the servers that are long gone, with their points. Guards against a ring and maps that
+// grow with every release for as long as the balancer runs; a flap within that time finds its penalty kept.
 func (b *Balancer) forgetGone() {
 	known := len(b.servers)
 	maps.DeleteFunc(b.servers, func(_ string, s *server) bool {
@@ -605,7 +605,8 @@
 	n := len(r.attempts)
 	wait := time.Duration(retrySpacing[min(n-1, len(retrySpacing)-1)] * float64(r.class.Aim))
 	// What is too slow for a further attempt is for pick to say; the mean holds failures too.
-	if left := r.aimBy - b.now - wait; n >= b.set.Limits.MaxAttempts || b.tokens < 1 || left.Seconds() < b.latency {
+	left := r.aimBy - b.now - wait
+	if n >= b.set.Limits.MaxAttempts || b.tokens < 1 || left.Seconds() < b.latency {
 		b.giveUp(r)
 		return
 	}
@@ -771,8 +772,8 @@
 }
 
 // blameKey notes a key's failure on a server that answers others, and tells whether the key is to blame: it
-// failed on several. Guards against requests that break whichever server gets them. Where attempts fail right and
-// left, whatever their keys, an unlucky key proves nothing.
+// failed on several. Guards against requests that break whichever server gets them. Where attempts fail
+// right and left, whatever their keys, an unlucky key proves nothing.
 func (b *Balancer) blameKey(key uint32, s *server, sent time.Duration) bool {
 	if s.lastServed+roundLength < sent || b.failing > blameShare {
 		return false
@@ -804,8 +805,8 @@
 	return true
 }
 
-// warmth is the share of its capacity that a server surely has: by its listed start, or by its return after no
-// connection came up, since a process that was gone likely comes back cold whatever the list says.
+// warmth is the share of its capacity that a server surely has: by its listed start, or by its return after
+// no connection came up, since a process that was gone likely comes back cold whatever the list says.
 func (b *Balancer) warmth(s *server) float64 {
 	since := max(s.backAt, s.Started)
 	age := b.now - since
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,7 +43,7 @@
 	zones                        map[string]*zone
 	kinds                        map[string]*pace // of machine, as listed
 	meanHeld                     float64          // of the servers' reports
-	lies                         float64          // part of the sends in spite of a failed probe that were served
+	lies                         float64          // part served of the sends in spite of a failed probe
 	meanWait                     float64          // of probes
 	longest                      time.Duration    // aim of a class
 	staleHalf                    time.Duration    // in which what was seen of a server fades by half
@@ -53,7 +53,7 @@
 	quickest, largest            float64          // the least quick time of a kind; the largest size of a member
 	meanWork                     float64          // mean of the hints
 	rate, sentRound              float64          // work units sent a second, and in this round
-	typical, area                float64          // usual mean in flight at a server; time in flight in this round
+	typical, area                float64          // usual mean in flight at a server; time in flight of a round
 	areaAt                       time.Duration
 	arrivals, came, meanArrivals float64 // requests a second, in this round, and the mean over all balancers
 	quotas                       float64
@@ -62,7 +62,8 @@
 func newBalancer(set Settings, seed uint64) *Balancer {
 	return &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x5072656c)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, servers: map[string]*server{}, byHash: map[uint32]*server{},
-		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{}, kinds: map[string]*pace{}}
+		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{},
+		kinds: map[string]*pace{}}
 }
 
 func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -140,8 +140,8 @@
 	b.idle = kept
 }
 
-// carry carries a route step out, on a connection that has stood idle for so long or a new one, and reports how
-// it ended. It runs beside the actor.
+// carry carries a route step out, on a connection that has stood idle for so long or a new one, and reports
+// how it ended. It runs beside the actor.
 func (b *booking) carry(step *routeStep, conn *transport.Upstream, stood time.Duration, addr netip.AddrPort) {
 	defer step.cancel(nil)
 	exchange := func() (protocol.Reply, bool, error) {
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -18,8 +18,9 @@
 const frontEasy, frontPressing = 6, 4
 
 // Descriptors shares the process's file descriptors between the front socket and the upstream connections.
-// Guards against running out of them, which would fail accepts and dials alike. The front has up to five eighths:
-// clients hold a third of the limit for requests, the rest stand idle. An eighth is always its own.
+// Guards against running out of them, which would fail accepts and dials alike. The front has up to five
+// eighths: clients hold a third of the limit for requests, the rest stand idle. An eighth is always its
+// own.
 type Descriptors struct {
 	mu                      sync.Mutex
 	total                   int
@@ -56,17 +57,18 @@
 	return true, d.front > d.total/frontEasy
 }
 
-// frontCrowded tells whether idle clients are to give way, and whether that is pressing. Guards against clients
-// that are kept out by the idle connections of their own machine, long before the front's share is used: they may
-// hold a third of the limit, and those that can't connect give no occasion to look.
+// frontCrowded tells whether idle clients are to give way, and whether that is pressing. Guards against
+// clients that are kept out by the idle connections of their own machine, long before the front's share is
+// used: they may hold a third of the limit, and those that can't connect give no occasion to look.
 func (d *Descriptors) frontCrowded() (crowded, pressing bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.front > d.total/frontEasy, d.front > d.total/frontPressing
 }
 
-// takeFront waits until the front may hold one more, or closed is. Evict closes a client's connection on which
-// nothing is open, and is told whether descriptors are so short that one that just stands there must do.
+// takeFront waits until the front may hold one more, or closed is. Evict closes a client's connection on
+// which nothing is open, and is told whether descriptors are so short that one that just stands there must
+// do.
 func (d *Descriptors) takeFront(closed <-chan struct{}, evict func(short bool) bool) bool {
 	for {
 		ok, full := d.tryFront()
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -106,9 +106,9 @@
 	return began
 }
 
-// closeWith announces a close with the answer where the connection is to give way. Guards against clients that
-// ask once and keep their connection: where they come in numbers, there is no time to let each stand idle first.
-// Clients that have asked again keep theirs for longer.
+// closeWith announces a close with the answer where the connection is to give way. Guards against clients
+// that ask once and keep their connection: where they come in numbers, there is no time to let each stand
+// idle first. Clients that have asked again keep theirs for longer.
 func (c *frontConn) closeWith(answer http.Header) {
 	crowded, pressing := c.front.descriptors.frontCrowded()
 	c.mu.Lock()
@@ -216,8 +216,8 @@
 	return rank, c.state, c.since
 }
 
-// frontListener accepts clients while there are descriptors for them, and closes the connections of those that
-// have nothing open where there are not.
+// frontListener accepts clients while there are descriptors for them, and closes the connections of those
+// that have nothing open where there are not.
 type frontListener struct {
 	net.Listener
 	descriptors *Descriptors
--- a/internal/transport/idle.go
+++ b/internal/transport/idle.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// best is the limit that saves most: losses beyond those that shorter idle times see too, less the price of the
-// new connections in their place.
+// best is the limit that saves most: losses beyond those that shorter idle times see too, less the price of
+// the new connections in their place.
 func (l *IdleLimit) best() time.Duration {
 	var used, lost, above, lostAbove float64
 	for i := range l.used {
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -28,8 +28,8 @@
 // ErrSpoilt means that what came back cannot be an answer to the route step. It has run, or may have.
 var ErrSpoilt = errors.New("the answer is spoilt")
 
-// Upstream is a connection to a booking server. It carries one route step at a time, and one goroutine waits on
-// it all along: so the end of an idle connection is noticed when it comes.
+// Upstream is a connection to a booking server. It carries one route step at a time, and one goroutine
+// waits on it all along: so the end of an idle connection is noticed when it comes.
 type Upstream struct {
 	conn    net.Conn
 	raw     syscall.RawConn
@@ -169,7 +169,8 @@
 		// More than the answer: the next route step must not take it for its own.
 		r.Close = r.Close || u.in.Buffered() > 0
 		return r, nil
-	case u.limit.N > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)):
+	case u.limit.N > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.As(err, &broken)):
 		return protocol.Reply{}, err
 	}
 	return protocol.Reply{}, errors.Join(ErrSpoilt, err)
