Long answers go on while their server gives; bound 64 MiB; beginnings are passed on at once

Ruled out: the client's lag (no answer was cut for it once the time was lifted), memory (18 to 32 of 64 MB). Now a begun answer ends only by its server's silence past the time, and the module hears the time to the first byte.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,7 +30,7 @@
 	// Answer gives the operation its one final answer: Operation, Result, After (a busy reply's advice),
 	// OverShare, Quota, Text (for whoever reads a failure). Where Result is protocol.Served, it is the answer to
 	// the route step Attempt, which was told of just now. Where Begins is true too, only the beginning is there:
-	// the rest follows as it comes, and the step is given up at Deadline now.
+	// the rest follows as it comes, and the step's time is over: MayGoOn says what holds from now on.
 	Answer OutputKind = iota
 	// StartStep sends the operation to a booking server: Operation, Attempt, Server, At (when it is given up),
 	// Deadline, Begins (its answer is passed on from the first byte on).
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -116,46 +116,40 @@
 }
 
 const (
-	// paceKnown is how long a body must have been coming before its pace says anything.
-	paceKnown = 100 * time.Millisecond
-	// paceHope is how many times quicker than so far the rest of a body may come.
-	paceHope = 4
+	// restWait is how long after its operation's time an answer that has begun may stand still: what still comes
+	// is wanted, however late, and what has stopped would be waited for in vain.
+	restWait = time.Second
+	// restMost is how long after it such an answer may last at all. Guards against one that trickles for ever.
+	restMost = 2 * time.Minute
+	// leastTaken is how many bytes a second a client must take of an answer that it holds up.
+	leastTaken = 16 << 10
 )
 
-// tooLate tells whether a body surely can't be whole by its deadline: at its pace so far, with some hope.
-func (p Progress) tooLate(left time.Duration) bool {
-	switch {
-	case p.Whole:
-		return false
-	case left <= 0:
-		return true
-	case p.Length < 0 || p.Came == 0 || p.Coming < paceKnown:
-		return false
-	}
-	return float64(p.Coming)*float64(p.Length-p.Came) > paceHope*float64(p.Came)*float64(left)
-}
-
 // mayBegin tells whether an answer that is longer than what is held whole may become the operation's, or why
 // not. An operation that has its answer has it for good, also where that has only begun.
-func (p Progress) mayBegin(answered bool, left time.Duration) Ending {
+func mayBegin(answered bool, left time.Duration) Ending {
 	switch {
 	case answered:
 		return NotNeeded
-	case p.tooLate(left):
+	case left <= 0:
 		return OutOfTime
 	}
 	return GoesOn
 }
 
 // MayGoOn tells whether an answer that has begun may go on, or why not: sent is how long ago its route step
-// was sent, left what is left of its operation's time. A client may hold up the connection of a booking
-// server for as long as that itself has needed since the route step was sent, and lag more.
-func (p Progress) MayGoOn(sent, left, lag time.Duration) Ending {
+// was sent, left what is left of its operation's time, quiet how long nothing has come though it could. The
+// time is of the first bytes: a booking server that still gives is not cut off. A client may hold up the
+// connection of a booking server for as long as that itself has needed since the route step was sent, and lag
+// more, and beyond that while it takes a fair number of bytes.
+func (p Progress) MayGoOn(sent, left, quiet, lag time.Duration) Ending {
 	own := sent - p.Before - p.HeldUp
 	switch {
-	case p.tooLate(left):
+	case p.Whole:
+		return GoesOn
+	case left <= 0 && quiet > restWait, left < -restMost:
 		return OutOfTime
-	case !p.Whole && p.HeldUp > own+lag:
+	case p.HeldUp > own+lag && float64(p.Came) < leastTaken*(p.Coming+p.HeldUp).Seconds():
 		return ClientLags
 	}
 	return GoesOn
--- a/internal/core/router.go
+++ b/internal/core/router.go
@@ -139,19 +139,20 @@
 
 // StepBegan takes in that the answer to a route step has begun, as a good one, and is longer than what is
 // held whole; how it ended is told by StepEnded. The first one that may begin is the operation's final
-// answer, however it ends. Until then its time was the module's to say, from now on it is the client's.
-func (r *Router) StepBegan(now time.Duration, id uint32, attempt int, body Progress) []Output {
+// answer, however it ends. Until then its time was the module's to say, from now on it lasts as long as the
+// booking server gives: the time is of the first bytes.
+func (r *Router) StepBegan(now time.Duration, id uint32, attempt int) []Output {
 	r.out = r.out[:0]
 	o := r.stepOut(id, attempt)
 	if o == nil {
 		return r.out
 	}
-	if why := body.mayBegin(o.answered, o.deadline-now); why != GoesOn {
+	if why := mayBegin(o.answered, o.deadline-now); why != GoesOn {
 		r.cancel(o, attempt, why)
 		return r.out
 	}
 	o.begun = attempt + 1
-	r.answer(o, Output{Result: protocol.Served, Attempt: attempt, Begins: true, Deadline: o.deadline})
+	r.answer(o, Output{Result: protocol.Served, Attempt: attempt, Begins: true})
 	r.step(now, &decide.StreamStarted{ID: id, Attempt: attempt})
 	return r.out
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -41,6 +41,7 @@
 	lastCame  time.Time
 	before    time.Duration // held up before it began to come
 	heldUp    time.Duration // and since
+	heldThen  time.Duration // of heldUp, when the last bytes came
 	waiting   time.Time     // since when Room waits; zero: it does not
 	end, cut  error
 	closed    bool
@@ -56,6 +57,7 @@
 	Before   time.Duration // how long it was held up before it could begin to come, for want of memory
 	HeldUp   time.Duration // how long since then, because earlier bytes were not taken
 	Coming   time.Duration // since the first byte, less HeldUp
+	Quiet    time.Duration // how long nothing has come since, though it could; of one that goes on
 	Whole    bool          // all of it has come
 }
 
@@ -141,7 +143,7 @@
 	last := &f.queue[len(f.queue)-1]
 	*last = (*last)[:len(*last)+n]
 	f.came += int64(n)
-	f.lastCame = time.Now()
+	f.lastCame, f.heldThen = time.Now(), f.heldUp
 	if f.firstCame.IsZero() {
 		f.firstCame = f.lastCame
 	}
@@ -318,8 +320,11 @@
 	if f.end == nil {
 		until = time.Now()
 	}
-	if !f.waiting.IsZero() {
+	switch {
+	case !f.waiting.IsZero():
 		p.HeldUp += until.Sub(f.waiting)
+	case f.end == nil && !f.lastCame.IsZero():
+		p.Quiet = max(until.Sub(f.lastCame)-f.heldUp+f.heldThen, 0)
 	}
 	if !f.firstCame.IsZero() {
 		p.Coming = until.Sub(f.firstCame) - p.HeldUp
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -73,7 +73,7 @@
 
 // Default is what holds without a file, and for every key that a file does not have.
 func Default() File {
-	return File{Answers: Answers{LongestKB: 4096, MemoryShare: 0.125, StallMS: 2000, LagMS: 500},
+	return File{Answers: Answers{LongestKB: 65536, MemoryShare: 0.125, StallMS: 2000, LagMS: 500},
 		Log: Log{Format: Text, Level: "info"}, GraphQL: defaultGraphQL(),
 		State: State{PeriodS: 10, WritesAMinute: 12, DeployS: 900},
 		Storm: Storm{On: true, SpellFactor: 1.65, PurgeShare: 0.5, PurgeMS: 3800, PurgeLeastMS: 2000,
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -190,7 +190,7 @@
 	RetryAfter  time.Duration // of a busy reply; zero: no advice
 	OverShare   bool          // a busy reply for being beyond the tenant's share
 	Quota       decide.Quota  // of the tenant, for a busy reply to tell of; zero: it doesn't
-	Until       time.Time     // when the last byte must have been taken; zero: it is whole
+	Begins      bool          // the rest of the flow follows as it comes; false: it is whole
 }
 
 // busyStatus tells who is beyond his share from a service that has no room.
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -237,8 +237,8 @@
 		if step.ctx.Err() != nil {
 			return
 		}
-		left, lag := time.Until(step.deadline), b.set.bodies.Rules().Lag
-		if why := progress(r.Flow.Progress()).MayGoOn(time.Since(step.sent), left, lag); why != core.GoesOn {
+		p, left, lag := r.Flow.Progress(), time.Until(step.deadline), b.set.bodies.Rules().Lag
+		if why := progress(p).MayGoOn(time.Since(step.sent), left, p.Quiet, lag); why != core.GoesOn {
 			step.cancel(why)
 			return
 		}
@@ -270,7 +270,7 @@
 		p = reply.Flow.Progress()
 	}
 	saw.Ending, saw.Reply, saw.Body = endingOf(err, step.ctx), reply.Outcome, progress(p)
-	saw.Latency = serverTime(p, step.sent, time.Now())
+	saw.Latency = serverTime(p, begun != nil, step.sent, time.Now())
 	b.set.idleLimit.note(b.set.clock.now(), saw)
 	ended.saw = saw
 	return ended
@@ -278,10 +278,13 @@
 
 // serverTime is how long the booking server took for what came of its answer, without what this side held
 // it up.
-func serverTime(p flow.Progress, sent, ended time.Time) time.Duration {
+func serverTime(p flow.Progress, begun bool, sent, ended time.Time) time.Duration {
 	if p.Whole && !p.LastCame.IsZero() { // else it was waited for until the end
 		ended = p.LastCame
 	}
+	if begun { // what is timed is its beginning: the rest takes as long as its length
+		return ended.Sub(sent) - p.Before - p.HeldUp - p.Coming
+	}
 	return ended.Sub(sent) - p.Before - p.HeldUp
 }
 
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -179,7 +179,7 @@
 func (a *Agent) began(now time.Duration, m stepBegan) {
 	a.reply = m.reply
 	if m.step.timer.Stop() { // else its time is up, and its end will be told
-		a.do(a.router.StepBegan(now, m.step.operation.id, m.step.attempt, progress(m.reply.Flow.Progress())))
+		a.do(a.router.StepBegan(now, m.step.operation.id, m.step.attempt))
 	}
 	a.drop()
 }
@@ -264,9 +264,6 @@
 			Status: a.reply.Status}
 		a.reply.Flow = nil
 	}
-	if out.Begins { // from now on its time is the client's
-		answer.Until = a.clock.time(out.Deadline + core.AnswerMargin)
-		o.steps[out.Attempt].timer.Reset(a.clock.until(out.Deadline))
-	}
+	answer.Begins = out.Begins
 	o.answer <- answer
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -197,7 +197,7 @@
 	if a.Kind == protocol.Malformed || a.Kind == protocol.TooLong {
 		w.Header().Set("Connection", "close") // and what is left of the request is not waited for
 	}
-	out := &answerWriter{ResponseWriter: w, control: http.NewResponseController(w), until: a.Until,
+	out := &answerWriter{ResponseWriter: w, control: http.NewResponseController(w), begins: a.Begins,
 		stall: f.bodies.Rules().Stall}
 	out.renew()
 	err := x.Encode(out, a)
@@ -222,7 +222,7 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	stall   time.Duration // for a write
-	until   time.Time     // for all; zero: not told
+	begins  bool          // what is written is not the whole answer yet
 	renewed time.Time
 }
 
@@ -236,11 +236,7 @@
 		return
 	}
 	o.renewed = now
-	until := now.Add(o.stall)
-	if !o.until.IsZero() && o.until.Before(until) {
-		until = o.until
-	}
-	_ = o.control.SetWriteDeadline(until)
+	_ = o.control.SetWriteDeadline(now.Add(o.stall))
 }
 
 // pass writes a body as it comes, and returns when the client's machine has all of it.
@@ -257,7 +253,7 @@
 			}
 		}
 		b, err := f.Next()
-		if errors.Is(err, io.EOF) && !o.until.IsZero() {
+		if errors.Is(err, io.EOF) && o.begins {
 			err = cmp.Or(o.control.Flush(), err)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -256,6 +256,7 @@
 	f.HeldUp(time.Since(asked))
 	r.Flow = f
 	begun := false
+	var since time.Time // its first byte came
 	for came := int64(0); err == nil && came != body.Length; {
 		var room []byte
 		if room, err = f.Room(); err != nil { // only after it has begun
@@ -269,9 +270,12 @@
 			break
 		}
 		f.Came(n)
+		if since.IsZero() {
+			since = time.Now()
+		}
 		switch {
 		case err != nil:
-		case !begun && came != body.Length && (came > rules.Whole || step.AtOnce):
+		case !begun && came != body.Length && (step.AtOnce || goesOn(body.Length, came, time.Since(since), rules)):
 			begun = true
 			u.replies <- reply{Reply: *r, begun: true}
 		}
@@ -286,3 +290,14 @@
 	}
 	return err
 }
+
+// wholeWait is how long an answer may be coming before its beginning is passed on, where it isn't known to be
+// short.
+const wholeWait = 100 * time.Millisecond
+
+// goesOn tells whether an answer is to be passed on as it comes. Guards against the first bytes of a long one
+// waiting for the others where its server writes in small pieces: they are what its client times.
+func goesOn(length, came int64, coming time.Duration, rules BodyRules) bool {
+	short := length >= 0 && length <= rules.Whole
+	return came > rules.Whole || !short && coming > wholeWait
+}
