--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -74,6 +74,8 @@
 	program   string // empty: the one with the race detector
 	path      string
 	addr      string
+	ops       string // the operators' address; empty: there is none
+	folder    string // $TMPDIR
 	graphQL   string // the address of the socket for it
 	process   *exec.Cmd
 	log       *logBuffer
@@ -111,7 +113,7 @@
 
 // newWorldAlone is for a test that loads the machine: others would find their programs too slow beside it.
 func newWorldAlone(t testing.TB, n int) *world {
-	w := &world{t: t, log: &logBuffer{}, exited: make(chan struct{})}
+	w := &world{t: t, log: &logBuffer{}, exited: make(chan struct{}), folder: t.TempDir()}
 	w.ids.Store(uint64(time.Now().UnixNano()))
 	var entries []object
 	for i := range n {
@@ -153,7 +155,7 @@
 		w.process.Args = append(w.process.Args, "--operator", w.path+".toml")
 	}
 	w.process.Env = append([]string{"LB_NAME=n0", "LB_LISTEN=" + w.addr, "LB_DISCOVERY=" + w.discovery.addr,
-		"LB_CONFIG=" + w.path}, w.env...)
+		"LB_CONFIG=" + w.path, "LB_OPS=" + w.ops, "TMPDIR=" + w.folder}, w.env...)
 	w.process.Stdout, w.process.Stderr = w.log, w.log
 	require.NoError(w.t, w.process.Start())
 	go func() { _ = w.process.Wait(); close(w.exited) }()
--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,12 +18,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"dunestep/decide"
-	"dunestep/internal/core"
+	"dunestep/internal/figures"
 	"dunestep/internal/operator"
 	"dunestep/internal/protocol"
-	"dunestep/internal/routing"
-	"dunestep/internal/state"
 	"dunestep/internal/transport"
 	"dunestep/storm"
 )
@@ -118,52 +114,23 @@
 	logging.set(c.operator.Log)
 	slog.SetDefault(slog.New(logging))
 	limit(c.Limits)
-	bodies := transport.NewBodies(c.bodies())
-	var agent *routing.Agent
-	descriptors := transport.NewDescriptors(c.Limits.Sockets, func() { agent.Reclaim() })
-	kept := recall(c)
-	set := routing.Settings{Deployment: c.Settings, Seed: c.Seed, Discovery: c.Discovery, Start: kept.start,
-		Proof:       state.Proof{Wanted: c.operator.State.ProveList, Deploy: seconds(c.operator.State.DeployS)},
-		Descriptors: descriptors, Bodies: bodies, Changed: kept.changed, Storm: c.storm()}
-	if c.Settings.Limits.Peers && c.PeerListen.IsValid() {
-		set.Datagrams, err = transport.ListenDatagrams(c.PeerListen, protocol.NewAgents(c.Peers, c.PeersAll))
-		if err != nil {
-			return err
-		}
-		defer set.Datagrams.Close()
-	}
-	if agent, err = routing.Start(set); err != nil {
+	p := &process{told: c, operatorFile: line.Operator, counts: figures.New(classNames(c.Settings.Classes))}
+	if err := p.start(); err != nil {
 		return err
 	}
-	kept.serves(agent)
-	if set.Datagrams != nil {
-		go func() {
-			if err := set.Datagrams.Receive(agent.Hear); err != nil {
-				slog.Error("no more datagrams are received", "error", err)
-			}
-		}()
-	}
-	front := transport.NewFront(descriptors, bodies, agent)
-	if err := c.listen(front); err != nil {
-		return err
-	}
-	served := make(chan error, 1)
-	go func() { served <- front.Serve() }()
-	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(kept.start.List.Servers))
+	defer p.close()
 	for running := true; running; {
 		select {
-		case err := <-served:
+		case err := <-p.served:
 			return err
 		case <-again:
-			reload(line.Operator, agent, descriptors, bodies)
+			reload(line.Operator, p)
 		case s := <-stop:
 			slog.Info("draining", "signal", s)
 			running = false
 		}
 	}
-	written := kept.finish(core.NewDrain(0, c.Settings.Classes).End())
-	drain(front, agent, c.Settings.Classes)
-	<-written
+	p.stop()
 	slog.Info("stopped")
 	return nil
 }
@@ -181,8 +148,7 @@
 
 // reload reads the configuration's file and the operator file again and takes over discovery's address, the
 // limits and what the operator set. What is in use stays so where one of the files cannot be used.
-func reload(operatorFile string, agent *routing.Agent, descriptors *transport.Descriptors,
-	bodies *transport.Bodies) {
+func reload(operatorFile string, p *process) {
 	c, err := readSettings(os.Getenv("LB_CONFIG"), operatorFile)
 	if err != nil {
 		for _, one := range operator.Problems(err) {
@@ -191,42 +157,15 @@
 		return
 	}
 	logging.set(c.operator.Log)
-	limit(c.Limits)
-	descriptors.SetLimit(c.Limits.Sockets)
-	bodies.Set(c.bodies())
-	agent.SetStorm(c.storm())
-	agent.Rediscover(c.Discovery)
+	p.told.Limits = c.Limits
+	p.limit(c.Limits)
+	p.bodies.Set(c.bodies())
+	p.agent.SetStorm(c.storm())
+	p.agent.Rediscover(c.Discovery)
 	slog.Info("configuration taken over", "discovery", c.Discovery, "cores", c.Limits.Cores,
 		"memory_mb", c.Limits.MemoryMB, "sockets", c.Limits.Sockets)
 }
 
-// drain goes through the phases of a planned restart. It returns when all that was taken has been answered,
-// or when the time for it is over.
-func drain(front *transport.Front, agent *routing.Agent, classes []decide.Class) {
-	front.StopReady()
-	began := time.Now()
-	course := core.NewDrain(0, classes)
-	for {
-		phase, until := course.At(time.Since(began))
-		switch phase {
-		case core.Arriving:
-			<-time.NewTimer(until - time.Since(began)).C
-			continue
-		case core.Abandoning:
-			slog.Warn("drain cut short: what is unanswered fails now")
-			agent.Abandon()
-		case core.Over:
-			return
-		}
-		ctx, cancel := context.WithDeadline(context.Background(), began.Add(until))
-		err := front.Drain(ctx)
-		cancel()
-		if err == nil {
-			return
-		}
-	}
-}
-
 // configure reads what the program is told at its start. The variables of the environment are all needed, and
 // win over the configuration's file.
 func configure(operatorFile string) (c instructions, err error) {
@@ -246,6 +185,11 @@
 	if c.Discovery, err = netip.ParseAddrPort(env["LB_DISCOVERY"]); err != nil {
 		return c, fmt.Errorf("LB_DISCOVERY: %w", err)
 	}
+	if ops := os.Getenv("LB_OPS"); ops != "" {
+		if c.Ops, err = netip.ParseAddrPort(ops); err != nil || c.Ops.Port() == 0 {
+			return c, fmt.Errorf("LB_OPS: %q is not an address with a port", ops)
+		}
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/cmd/dunestep/ops_test.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// door gives the program an ops socket.
+func door(w *world) {
+	own := worlds.Add(1)
+	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, own>>8, own&255))
+	require.NoError(w.t, err)
+	w.ops = free.Addr().String()
+	require.NoError(w.t, free.Close())
+}
+
+// call makes a call at the ops socket; the answer is owed in a second.
+func (w *world) call(method, path, body string) (int, string) {
+	w.t.Helper()
+	began := time.Now()
+	r, err := http.NewRequest(method, "http://"+w.ops+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	require.True(w.t, resp.Close, "one call to a connection")
+	require.Less(w.t, time.Since(began), 3*time.Second)
+	return resp.StatusCode, string(text)
+}
+
+func (w *world) yes(method, path, body string) {
+	w.t.Helper()
+	status, text := w.call(method, path, body)
+	require.Equal(w.t, 200, status, text)
+}
+
+type stats struct {
+	Responses map[string]struct{ OK, Shed, Errors int }
+	Tries     int
+	Active    int
+	Size      int `json:"pool_size"`
+	Ejected   int `json:"pool_ejected"`
+}
+
+func (w *world) stats() (s stats) {
+	w.t.Helper()
+	status, text := w.call("GET", "/ops/stats", "")
+	require.Equal(w.t, 200, status)
+	require.NoError(w.t, json.Unmarshal([]byte(text), &s))
+	return s
+}
+
+// Each call has its answer, and what is no call has another.
+func TestOpsCalls(t *testing.T) {
+	w := start(t, 2, door)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "/ops/readiness", "", 200}, {"GET", "/ops/stats", "", 200}, {"POST", "/ops/drain/stop", "", 200},
+		{"GET", "/", "", 404}, {"GET", "/ops/stats/", "", 404}, {"POST", "/ops/stats", "", 405},
+		{"GET", "/ops/drain/start", "", 405}, {"POST", "/ops/booking-servers/down", "", 400},
+		{"POST", "/ops/booking-servers/down", "s-\x00", 400}, {"POST", "/ops/booking-servers/down", "s- 0", 400},
+		{"POST", "/ops/booking-servers/down", strings.Repeat("s", 257), 404},
+		{"POST", "/ops/booking-servers/down", strings.Repeat("s", 1000), 413},
+		{"POST", "/ops/booking-servers/down", "s-7", 404}, {"POST", "/ops/booking-servers/up", "s-7", 404},
+		{"POST", "/ops/booking-servers/up", "s-1\n", 200},
+	} {
+		status, text := w.call(c.method, c.path, c.body)
+		require.Equal(t, c.status, status, "%s %s %q: %s", c.method, c.path, c.body, text)
+	}
+	require.Equal(t, 404, w.do(must(http.NewRequest("GET", "http://"+w.ops+"/health/ready", nil))).status)
+}
+
+func must(r *http.Request, err error) *http.Request {
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Without an address there is no door; a malformed one ends the start.
+func TestNoDoor(t *testing.T) {
+	w := newWorld(t, 1)
+	w.ops = "nowhere"
+	w.launch()
+	await(t, w.exited)
+	require.Equal(t, 1, w.process.ProcessState.ExitCode())
+	require.Equal(t, "dunestep: LB_OPS: \"nowhere\" is not an address with a port\n", w.log.String())
+}
+
+// The door answers with clients at their descriptor limit and beside many callers who say nothing, or half a
+// call; those give way, oldest first.
+func TestDoorUnderPressure(t *testing.T) {
+	w := start(t, 1, door, func(w *world) { w.config["limits"].(object)["sockets"] = 96 })
+	w.servers[0].set(func(step) string { return silence })
+	for range 60 { // more than there are descriptors for
+		c, err := net.Dial("tcp", w.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		_ = w.request("consult", 30000).Write(c)
+	}
+	first := w.rawTo(w.ops, "")
+	for i := range 100 {
+		w.rawTo(w.ops, []string{"", "GET /ops/stats HTTP/1.1\r\n", "POST /ops/booking-servers/down HTTP/1.1\r\n" +
+			"Host: x\r\nContent-Length: 9\r\n\r\ns-0"}[i%3])
+		if i%20 == 0 {
+			w.yes("GET", "/ops/readiness", "")
+		}
+	}
+	_ = first.SetReadDeadline(time.Now().Add(patience))
+	_, err := first.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the oldest gives way")
+	require.LessOrEqual(t, w.descriptors(), 96)
+}
+
+// The figures are what those round the program saw, with failures, busy replies, resets and clients that leave.
+func TestFigures(t *testing.T) {
+	w := start(t, 2, door, (*world).patient)
+	zero := w.stats()
+	require.Equal(t, []any{0, 0, 2, 0}, []any{zero.Tries, zero.Active, zero.Size, zero.Ejected})
+	require.Len(t, zero.Responses, 2, "classes without a request are there")
+	w.ask("consult")
+	answers := map[int]int{}
+	for i, with := range []func(step) string{ok, func(step) string { return reply("500 No", "") },
+		func(step) string { return reply("503 No", "", "X-Unprocessed: 1") }, func(step) string { return hangUp }} {
+		w.each(with)
+		for range 3 + i {
+			answers[w.ask("rezervare").status]++
+		}
+	}
+	w.each(func(step) string { return silence })
+	before := w.seen()
+	leaves := w.raw("GET /consult/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n" +
+		"X-Account: acme\r\nX-Time-Left-Ms: 9000\r\n\r\n")
+	w.until("it is out", func() bool { return w.seen() > before })
+	require.Equal(t, 1, w.stats().Active)
+	_ = leaves.Close()
+	w.until("it has left", func() bool { return w.stats().Active == 0 })
+	s := w.stats()
+	got := s.Responses["rezervare"]
+	require.Equal(t, []int{answers[200], answers[503] + answers[429], answers[502]}, []int{got.OK, got.Shed, got.Errors})
+	require.Equal(t, w.seen(), s.Tries)
+	require.Equal(t, 1, s.Responses["consult"].OK)
+}
+
+// A booking server that is out gets nothing, whatever discovery says, and is used again after the lift.
+func TestBan(t *testing.T) {
+	w := start(t, 2, door)
+	ask := func(n int) {
+		for range n {
+			require.Equal(t, 200, w.ask("consult").status)
+		}
+	}
+	use := func(server int) func() bool {
+		return func() bool {
+			before := len(w.servers[server].steps())
+			r := w.request("consult", 900)
+			r.Header.Set("Cookie", "sid="+w.id())
+			w.do(r)
+			return len(w.servers[server].steps()) > before
+		}
+	}
+	w.until("both are used", func() bool { return use(0)() })
+	w.until("both are used", func() bool { return use(1)() })
+	w.yes("POST", "/ops/booking-servers/down", "s-0")
+	w.yes("POST", "/ops/booking-servers/down", "s-0")
+	w.until("its connections are closed", func() bool { return w.servers[0].open() == 0 })
+	before := len(w.servers[0].steps())
+	ask(20)
+	w.until("watch", func() bool { return w.discovery.watched() == 1 })
+	w.discovery.say(list(50, true, w.servers[0].entry("active"), w.servers[1].entry("active")))
+	w.discovery.say(list(51, false, w.servers[0].entry("active")))
+	for version := 52; version < 54; version += 2 {
+		w.discovery.say(list(version, false, w.servers[0].entry("left")))
+		w.discovery.say(list(version+1, false, w.servers[0].entry("active")))
+	}
+	for range 20 {
+		require.False(t, use(0)())
+	}
+	require.Equal(t, before, len(w.servers[0].steps()))
+	s := w.stats()
+	require.Equal(t, []int{2, 1}, []int{s.Size, s.Ejected})
+	w.yes("POST", "/ops/booking-servers/down", "s-1")
+	require.Equal(t, 503, w.ask("consult").status, "all are out")
+	w.yes("POST", "/ops/booking-servers/up", "s-1")
+	w.yes("POST", "/ops/booking-servers/up", "s-0")
+	w.until("it is used again", use(0))
+}
+
+// asked is an answer's status, and whether it closes its connection.
+func (w *world) asked() []any {
+	resp, err := http.DefaultClient.Do(w.request("consult", 900))
+	require.NoError(w.t, err)
+	_ = resp.Body.Close()
+	return []any{resp.StatusCode, resp.Close}
+}
+
+// Clients are sent away by hand and taken again, in any order of calls; the agent goes on.
+func TestDrainByHand(t *testing.T) {
+	w := start(t, 1, door)
+	w.yes("POST", "/ops/drain/stop", "") // without a start
+	idle := w.raw("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err := idle.Read(make([]byte, 1))
+	require.NoError(t, err)
+	silent := w.raw("")
+	for range 2 {
+		w.yes("POST", "/ops/drain/start", "")
+		require.Equal(t, 503, w.health())
+		require.Equal(t, []any{200, true}, w.asked(), "who comes all the same is served, once")
+	}
+	for _, c := range []net.Conn{idle, silent} {
+		_ = c.SetReadDeadline(time.Now().Add(patience))
+		_, err := io.Copy(io.Discard, c)
+		require.NoError(t, err, "closed as it stands idle")
+	}
+	w.yes("POST", "/ops/drain/stop", "")
+	require.Equal(t, 200, w.health())
+	require.Equal(t, []any{200, false}, w.asked())
+	w.yes("POST", "/ops/drain/start", "") // and SIGTERM comes while drained
+}
--- /dev/null
+++ b/decide/view.go
@@ -0,0 +1,12 @@
+package decide
+
+// Avoided is how many listed booking servers get nothing of the ordinary path now, by choice: those down,
+// damped, or passed over for turning requests away. What drains or is gone is not among them.
+func (b *Balancer) Avoided() (n int) {
+	for _, s := range b.servers {
+		if s.State == Ready && (s.record.IsDown() || b.now < s.dampedUntil || s.record.NotNow(b.now)) {
+			n++
+		}
+	}
+	return n
+}
--- a/health/memory.go
+++ b/health/memory.go
@@ -45,7 +45,10 @@
 // Remember returns what was learned of a server.
 func (d *Detector) Remember(now time.Duration, s *Server) Memory {
 	m := Memory{Dead: s.dead, Part: s.part, Down: s.down, Mute: s.down && s.mute, Absent: s.absent,
-		Turns: s.turns, Hold: s.hold, NotNow: max(s.notNow-now, 0), All: s.recent.all}
+		Turns: s.turns, NotNow: max(s.notNow-now, 0), All: s.recent.all}
+	if s.turns >= turnedProof/2 { // with less, it would not be taken back
+		m.Hold = s.hold
+	}
 	if s.down {
 		m.Ago, m.Asked, m.Because = max(now-s.since, 0), s.asked, s.because
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,9 @@
 	MoveServer
 	// RetireServer ends with a booking server: Server. What is out there goes on to its end.
 	RetireServer
+	// RestServer has all idle connections to a booking server closed, and those that fall idle, until the next
+	// MoveServer: Server.
+	RestServer
 	// LetGo has half of a booking server's idle connections closed: Server.
 	LetGo
 	// Log writes what the module says: Text.
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -1,7 +1,11 @@
 package core
 
 import (
+	"errors"
+	"maps"
 	"net/netip"
+	"slices"
+	"time"
 
 	"dunestep/decide"
 	"dunestep/internal/protocol"
@@ -16,7 +20,7 @@
 	BeginCall ListOutputKind = iota
 	// EndCall ends a call: Call. Its end is told as any other.
 	EndCall
-	// News is for the Router's PoolNews: Sync, Config, Confirms.
+	// News is for the Router's PoolNews: Sync, Config, Told, ByHand, Confirms.
 	News
 	// OutOfOrder is for the log: Version, Known.
 	OutOfOrder
@@ -31,7 +35,10 @@
 	Addr   netip.AddrPort
 	Form   protocol.ListCall
 	Sync   decide.SyncKind
-	Config protocol.PoolConfig
+	Config protocol.PoolConfig // with the bans over it
+	Told   protocol.PoolConfig // as discovery told it
+	// ByHand: a ban or a lift has brought it, not discovery.
+	ByHand bool
 	// Confirms: by this discovery has said what the whole list is.
 	Confirms bool
 	Version  int64
@@ -39,6 +46,26 @@
 	Err      error
 }
 
+// Ban is a booking server that staff have taken out by hand, or have put back since.
+type Ban struct {
+	ID string `json:"id"`
+	// Started is when it had started by the list of then, in Unix time; zero: long ago, or it was not listed.
+	Started time.Duration `json:"started_ns"`
+	// Lifted is when it was put back, in Unix time; zero: it is out. It stands for the start until discovery
+	// tells of another one than Started.
+	Lifted time.Duration `json:"lifted_ns,omitempty"`
+}
+
+const (
+	// mostBans is how many booking servers can be out by hand at once, those that have left the list included.
+	mostBans = 1024
+	// mostSeen is how many ids that were once listed are remembered; the oldest are forgotten first.
+	mostSeen = 8192
+)
+
+// ErrTooManyBans means that no further booking server can be taken out by hand.
+var ErrTooManyBans = errors.New("too many booking servers are out by hand")
+
 // List is the pool config's actor without its mailbox: it holds the version and the calls to discovery, and
 // says FAILED as soon as a call ends. When to call again is the module's to say. Inputs return what is to be
 // done, in order, valid until the next input; what comes of a call that is not waited for any more is passed
@@ -46,17 +73,177 @@
 type List struct {
 	addr    netip.AddrPort
 	version int64
-	calls   int          // begun so far
-	present int          // the watch, by its number; zero: none yet
-	former  int          // the watch at the address before, until the present one has begun
-	undone  bool         // the present watch said something out of order: the rest of it is passed over
-	fetches map[int]bool // those that are out
+	calls   int                            // begun so far
+	present int                            // the watch, by its number; zero: none yet
+	former  int                            // the watch at the address before, until the present one has begun
+	undone  bool                           // the present watch said something out of order: the rest of it is passed over
+	fetches map[int]bool                   // those that are out
+	entries map[string]protocol.PoolServer // by discovery's word, without the bans
+	seen    map[string]bool                // ids that were ever listed
+	order   []string                       // the same, as they came
+	bans    map[string]Ban
 	out     []ListOutput
 }
 
-// NewList returns a List that knows a version of the list, and where discovery is.
-func NewList(addr netip.AddrPort, version int64) *List {
-	return &List{addr: addr, version: version, fetches: map[int]bool{}}
+// NewList returns a List that knows a list, and where discovery is. The bans hold from the start.
+func NewList(addr netip.AddrPort, known protocol.PoolConfig, bans []Ban) *List {
+	l := &List{addr: addr, version: known.Version, fetches: map[int]bool{}, bans: map[string]Ban{},
+		seen: map[string]bool{}, entries: map[string]protocol.PoolServer{}}
+	for _, b := range bans[:min(len(bans), mostBans)] {
+		l.bans[b.ID] = b
+		l.see(b.ID)
+	}
+	l.note(decide.SyncFull, known)
+	return l
+}
+
+// Known is the list as it is known, for the start, with the bans over it.
+func (l *List) Known(known protocol.PoolConfig) protocol.PoolConfig { return l.overlay(known) }
+
+// Ban takes a booking server out until Lift, whatever discovery says of it; listed is false where no list
+// ever had it. One that is out stays so.
+func (l *List) Ban(id string) (out []ListOutput, listed bool, err error) {
+	l.out = l.out[:0]
+	switch {
+	case !l.seen[id]:
+		return nil, false, nil
+	case l.banned(id):
+		return nil, true, nil
+	case len(l.bans) >= mostBans && !l.forgetLifted():
+		return nil, true, ErrTooManyBans
+	}
+	l.bans[id] = Ban{ID: id, Started: l.entries[id].Started}
+	l.renew(id)
+	return l.out, true, nil
+}
+
+// Lift ends the ban of a booking server. What discovery has told since counts; where that is no further
+// start, the server counts as started now, in Unix time: it is taken out to be restarted, and discovery is
+// late.
+func (l *List) Lift(id string, now time.Duration) (out []ListOutput, listed bool) {
+	l.out = l.out[:0]
+	if !l.banned(id) {
+		return nil, l.seen[id]
+	}
+	l.bans[id] = Ban{ID: id, Started: l.bans[id].Started, Lifted: now}
+	l.renew(id)
+	return l.out, true
+}
+
+// SetBans has those bans hold that another process of this agent knows, and no others.
+func (l *List) SetBans(bans []Ban) []ListOutput {
+	l.out = l.out[:0]
+	before := l.bans
+	l.bans = make(map[string]Ban, len(bans))
+	for _, b := range bans[:min(len(bans), mostBans)] {
+		l.bans[b.ID] = b
+		l.see(b.ID)
+	}
+	for _, id := range sorted(l.bans) {
+		if l.bans[id] != before[id] {
+			l.renew(id)
+		}
+	}
+	for _, id := range sorted(before) {
+		if _, still := l.bans[id]; !still {
+			l.renew(id)
+		}
+	}
+	return l.out
+}
+
+// Bans are those that hold, and those that were lifted while discovery has told of no further start; by id.
+func (l *List) Bans() []Ban {
+	bans := make([]Ban, 0, len(l.bans))
+	for _, id := range sorted(l.bans) {
+		bans = append(bans, l.bans[id])
+	}
+	return bans
+}
+
+// banned tells whether a booking server is out by hand.
+func (l *List) banned(id string) bool {
+	b, is := l.bans[id]
+	return is && b.Lifted == 0
+}
+
+// forgetLifted drops the bans that are over, and tells whether there were any.
+func (l *List) forgetLifted() bool {
+	before := len(l.bans)
+	maps.DeleteFunc(l.bans, func(_ string, b Ban) bool { return b.Lifted > 0 })
+	return len(l.bans) < before
+}
+
+// Size tells how many booking servers are listed, and how many of these are out by hand.
+func (l *List) Size() (listed, banned int) {
+	for id := range l.entries {
+		if l.banned(id) {
+			banned++
+		}
+	}
+	return len(l.entries), banned
+}
+
+// renew passes on what holds of one booking server now.
+func (l *List) renew(id string) {
+	s, listed := l.entries[id]
+	if !listed {
+		return
+	}
+	c := l.overlay(protocol.PoolConfig{Version: l.version, Servers: []protocol.PoolServer{s}})
+	l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Config: c, ByHand: true})
+}
+
+// overlay is what holds of a list: a booking server that is out by hand drains, and one that was put back has
+// started then, unless discovery tells of a start since it was taken out.
+func (l *List) overlay(c protocol.PoolConfig) protocol.PoolConfig {
+	if len(l.bans) == 0 {
+		return c
+	}
+	c.Servers = slices.Clone(c.Servers)
+	for i := range c.Servers {
+		s := &c.Servers[i]
+		b, is := l.bans[s.ID]
+		switch {
+		case !is || s.State != decide.Ready:
+		case b.Lifted == 0:
+			s.State = decide.Draining
+		case s.Started == b.Started:
+			s.Started = b.Lifted
+		}
+	}
+	return c
+}
+
+// note keeps what discovery says, without the bans.
+func (l *List) note(kind decide.SyncKind, c protocol.PoolConfig) {
+	if kind == decide.SyncFull {
+		clear(l.entries)
+	}
+	for _, s := range c.Servers {
+		if b := l.bans[s.ID]; b.Lifted > 0 && s.Started != b.Started {
+			delete(l.bans, s.ID) // what was missed is told
+		}
+		if s.State == decide.Gone {
+			delete(l.entries, s.ID)
+			continue
+		}
+		l.entries[s.ID] = s
+		l.see(s.ID)
+	}
+}
+
+// see remembers that an id was listed.
+func (l *List) see(id string) {
+	if l.seen[id] {
+		return
+	}
+	l.seen[id] = true
+	l.order = append(l.order, id)
+	for len(l.seen) > mostSeen {
+		delete(l.seen, l.order[0])
+		l.order = l.order[1:]
+	}
 }
 
 // Subscribe has the list watched anew, from the version that is known. A watch at the address before goes on:
@@ -162,11 +349,12 @@
 		return
 	}
 	l.version = c.Version
+	kind := decide.SyncChange
 	if c.Full {
-		l.put(ListOutput{Kind: News, Sync: decide.SyncFull, Config: c, Confirms: true})
-	} else {
-		l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Config: c, Confirms: true})
+		kind = decide.SyncFull
 	}
+	l.note(kind, c)
+	l.put(ListOutput{Kind: News, Sync: kind, Config: l.overlay(c), Told: c, Confirms: true})
 }
 
 func (l *List) endFormer() {
--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -102,11 +102,11 @@
 		return ListOutput{Kind: BeginCall, Call: call, Addr: addr, Form: protocol.ListCall{Watch: true, From: from}}
 	}
 	news := func(kind decide.SyncKind, c protocol.PoolConfig) ListOutput {
-		return ListOutput{Kind: News, Sync: kind, Config: c, Confirms: c.Version > 0}
+		return ListOutput{Kind: News, Sync: kind, Config: c, Told: c, Confirms: c.Version > 0}
 	}
 	none := protocol.PoolConfig{}
 	ends := func(call int) ListOutput { return ListOutput{Kind: EndCall, Call: call} }
-	l := NewList(here, 41)
+	l := NewList(here, protocol.PoolConfig{Version: 41}, nil)
 	k := slices.Clone[[]ListOutput]
 	for i, c := range []struct{ got, want []ListOutput }{
 		{k(l.Subscribe()), []ListOutput{begins(1, 41, here)}},
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -14,6 +14,7 @@
 	idle    []pooled[C] // the one used last at the end
 	busy    int
 	retired bool
+	resting bool // connections are not kept
 	closing []C
 }
 
@@ -75,7 +76,7 @@
 func (p *Pool[C]) Over(now time.Duration, conn C, to netip.AddrPort, ended bool) []C {
 	p.busy--
 	p.closing = p.closing[:0]
-	if p.retired || to != p.addr || ended {
+	if p.retired || p.resting || to != p.addr || ended {
 		p.closing = append(p.closing, conn)
 	} else {
 		p.idle = append(p.idle, pooled[C]{conn: conn, since: now, until: now + p.limit.Limit()})
@@ -106,10 +107,16 @@
 // Move has what comes go to another address. What is out goes on.
 func (p *Pool[C]) Move(addr netip.AddrPort) []C {
 	moved := addr != p.addr
-	p.addr = addr
+	p.addr, p.resting = addr, false
 	return p.dropThose(func(pooled[C]) bool { return moved })
 }
 
+// Rest closes the idle connections, and keeps none until the next Move.
+func (p *Pool[C]) Rest() []C {
+	p.resting = true
+	return p.dropThose(func(pooled[C]) bool { return true })
+}
+
 // LetGo closes the longer idle half of the connections.
 func (p *Pool[C]) LetGo() []C {
 	longest := (len(p.idle) + 1) / 2
--- a/internal/core/standing.go
+++ b/internal/core/standing.go
@@ -57,6 +57,9 @@
 		known.open = true
 		r.put(Output{Kind: OpenServer, Server: s.ID, Addr: s.Addr})
 	}
+	if known.open && s.State == decide.Draining { // nothing new goes there
+		r.put(Output{Kind: RestServer, Server: s.ID})
+	}
 }
 
 // Ready tells whether a booking server is known that takes operations.
--- /dev/null
+++ b/internal/handover/bans.go
@@ -0,0 +1,116 @@
+// Package handover is what processes of one agent leave each other in a folder that they share, $TMPDIR: the
+// booking servers that staff have taken out, and, while one process takes over from another, a socket on which
+// they meet.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"unicode/utf8"
+
+	"github.com/google/renameio/v2"
+
+	"dunestep/internal/core"
+	"dunestep/internal/protocol"
+)
+
+const (
+	// maxBans bounds what is read of the file.
+	maxBans = 1 << 20
+	// mostKept bounds what a file may name.
+	mostKept = 2048
+)
+
+// bansFile is the file as it is laid out.
+type bansFile struct {
+	Format  int        `json:"format"`
+	Agent   string     `json:"agent"`
+	Drained bool       `json:"drained"`
+	Bans    []core.Ban `json:"bans"`
+}
+
+const bansFormat = 1
+
+// Hand is what staff have set by hand.
+type Hand struct {
+	Bans    []core.Ban
+	Drained bool // clients are sent away
+}
+
+// Bans is the file of what was set by hand.
+type Bans struct{ path, agent string }
+
+// NewBans is the file in a folder of the agent whose clients connect at listen.
+func NewBans(folder, agent string, listen netip.AddrPort) *Bans {
+	return &Bans{path: place(folder, agent, listen, "json"), agent: agent}
+}
+
+// place names a file of an agent's. Guards against agents that share a folder: each has files of its own.
+func place(folder, agent string, listen netip.AddrPort, kind string) string {
+	sum := fnv.New64a()
+	_, _ = io.WriteString(sum, agent+" "+listen.String())
+	return filepath.Join(folder, fmt.Sprintf("dunestep-%016x.%s", sum.Sum64(), kind))
+}
+
+// Write replaces the file as a whole; it lies on the disk when Write returns.
+func (b *Bans) Write(h Hand) error {
+	raw, err := json.Marshal(bansFile{Format: bansFormat, Agent: b.agent, Drained: h.Drained, Bans: h.Bans})
+	if err != nil {
+		return err
+	}
+	return renameio.WriteFile(b.path, append(raw, '\n'), 0o600)
+}
+
+// Read reads the file. Where there is none, nothing was set; the error says why one can't be used.
+func (b *Bans) Read() (Hand, error) {
+	f, err := os.Open(b.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return Hand{}, nil
+	}
+	if err != nil {
+		return Hand{}, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, maxBans+1))
+	if err != nil {
+		return Hand{}, err
+	}
+	h, err := decodeHand(raw, b.agent)
+	if err != nil {
+		return Hand{}, fmt.Errorf("%s: %w", b.path, err)
+	}
+	return h, nil
+}
+
+// decodeHand decodes a file of an agent's.
+func decodeHand(raw []byte, agent string) (Hand, error) {
+	var f bansFile
+	if len(raw) > maxBans {
+		return Hand{}, errors.New("too long")
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Hand{}, err
+	}
+	switch {
+	case f.Format != bansFormat:
+		return Hand{}, fmt.Errorf("format %d, known is %d", f.Format, bansFormat)
+	case f.Agent != agent:
+		return Hand{}, fmt.Errorf("it is of agent %q", f.Agent)
+	case len(f.Bans) > mostKept:
+		return Hand{}, errors.New("too many booking servers")
+	}
+	for _, ban := range f.Bans {
+		if ban.ID == "" || len(ban.ID) > protocol.MaxServerID || !utf8.ValidString(ban.ID) || ban.Started < 0 ||
+			ban.Lifted < 0 {
+			return Hand{}, fmt.Errorf("no booking server is %q", ban.ID)
+		}
+	}
+	return Hand{Bans: f.Bans, Drained: f.Drained}, nil
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -12,6 +12,7 @@
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
+	Ops       netip.AddrPort // for operators alone; not valid: there is no such socket
 	Seed      uint64
 	Limits    Limits
 	// PeerListen, Peers and PeersAll are set where the settings let agents talk to one another.
@@ -45,8 +46,8 @@
 // that it can't be read.
 func decodeConfig(raw []byte) (Config, []wrong, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Ops, Seed string
+		Limits                             struct {
 			Cores    float64
 			MemoryMB int64 `json:"memory_mb"`
 			Sockets  int
@@ -76,6 +77,7 @@
 		return a
 	}
 	c.Listen, c.Discovery = addr("listen", f.Listen, true), addr("discovery", f.Discovery, true)
+	c.Ops = addr("ops", f.Ops, false)
 	c.PeerListen, c.PeersAll = addr("peer_listen", f.PeerListen, false), addr("peers_all", f.PeersAll, false)
 	for i, p := range f.Peers {
 		c.Peers = append(c.Peers, addr("peers["+strconv.Itoa(i)+"]", p, true))
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -146,7 +146,7 @@
 		list = w.discovery.asOfVersion(known.Version)
 	}
 	l := &life{w: w, agent: a, router: core.NewRouter(set, gate),
-		list:        core.NewList(serverAddr(0), known.Version),
+		list:        core.NewList(serverAddr(0), known, nil),
 		idle:        core.NewIdleLimit(clockStart+w.now, w.set.Connections.Idle),
 		descriptors: core.NewDescriptors(w.set.Agents.Sockets), upstreams: map[string]*upstream{},
 		operations: map[uint32]*operation{}, calls: map[int]*call{}}
@@ -312,6 +312,8 @@
 		case core.RetireServer:
 			closeAll(l.upstreams[o.Server].pool.Retire())
 			delete(l.upstreams, o.Server)
+		case core.RestServer:
+			closeAll(l.upstreams[o.Server].pool.Rest())
 		case core.LetGo:
 			closeAll(l.upstreams[o.Server].pool.LetGo())
 		case core.Log:
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dunestep/decide"
+	"dunestep/internal/figures"
 	"dunestep/internal/protocol"
 	"dunestep/internal/routing"
 	"dunestep/internal/state"
@@ -67,10 +68,10 @@
 	require.NoError(b, err)
 	addr := free.Addr().(*net.TCPAddr).AddrPort()
 	require.NoError(b, free.Close())
-	front := transport.NewFront(descriptors, bodies, a)
+	front := transport.NewFront(descriptors, bodies, figures.New(nil), a)
 	require.NoError(b, front.Listen(addr, protocol.HTTP))
 	go func() { _ = front.Serve() }()
-	b.Cleanup(func() { _ = front.Drain(b.Context()) })
+	b.Cleanup(front.Close)
 	return addr.String()
 }
 
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dunestep/internal/core"
+	"dunestep/internal/figures"
 	"dunestep/internal/flow"
 	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
@@ -64,6 +65,7 @@
 	idleLimit      *idleLimit
 	descriptors    *transport.Descriptors
 	bodies         *transport.Bodies
+	figures        *figures.Figures
 }
 
 // idleLimit is the core's, which all booking servers' actors share.
@@ -107,6 +109,7 @@
 	}
 	idleOver  struct{}
 	connEnded struct{ conn *transport.Upstream }
+	rest      struct{} // keep no idle connections
 	letGo     struct{} // close half of the idle connections
 	retire    struct{} // the server has left: end when nothing is out
 )
@@ -142,6 +145,8 @@
 		closing = b.pool.Ended(m.conn)
 	case moved:
 		closing = b.pool.Move(m.addr)
+	case rest:
+		closing = b.pool.Rest()
 	case letGo:
 		closing = b.pool.LetGo()
 	case retire:
@@ -177,7 +182,8 @@
 		wait := time.Until(step.until) // after the dial
 		op := step.operation.Operation
 		return conn.Exchange(step.ctx, transport.Step{Head: protocol.AppendRouteStep(nil, op, wait), Body: op.Body,
-			AtOnce: step.streamed, GraphQL: op.GraphQL, Begun: func(r protocol.Reply) {
+			AtOnce: step.streamed, GraphQL: op.GraphQL, Written: b.set.figures.Tried,
+			Begun: func(r protocol.Reply) {
 				begun = r.Flow
 				b.begin(step, r)
 			}})
--- a/internal/routing/kept.go
+++ b/internal/routing/kept.go
@@ -21,6 +21,9 @@
 
 // news comes right after the core was told news of the list.
 func (k *kept) news(now time.Duration, n poolNews) {
+	if n.byHand { // the list that is kept is discovery's
+		return
+	}
 	if n.kind == decide.SyncSaved {
 		k.session.Began(now)
 		return
@@ -30,7 +33,7 @@
 		slog.Warn("discovery not heard since the start, going on with the list of the start", "version",
 			k.session.ListVersion(), "proving", k.proves)
 	}
-	if k.session.News(now, n.kind, n.config, n.confirms) {
+	if k.session.News(now, n.kind, n.told, n.confirms) {
 		slog.Info("discovery has confirmed the list", "version", k.session.ListVersion(),
 			"after", time.Since(k.clock.began))
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -8,6 +8,7 @@
 
 	"dunestep/decide"
 	"dunestep/internal/core"
+	"dunestep/internal/figures"
 	"dunestep/internal/protocol"
 	"dunestep/internal/transport"
 )
@@ -20,15 +21,19 @@
 type poolNews struct {
 	kind     decide.SyncKind
 	config   protocol.PoolConfig
+	told     protocol.PoolConfig // the same as discovery told it, without what staff have taken out
+	byHand   bool
 	confirms bool // by it discovery has said what the whole list is
 }
 
 // list is the actor of the pool config: it makes the calls to discovery.
 type list struct {
-	mail   *mailbox[any]
-	core   *core.List
-	calls  map[int]context.CancelFunc // those that are out
-	report func(poolNews)
+	mail    *mailbox[any]
+	core    *core.List
+	calls   map[int]context.CancelFunc // those that are out
+	report  func(poolNews)
+	clock   clock
+	figures *figures.Figures
 }
 
 // The messages of the list's actor.
@@ -46,11 +51,27 @@
 		call int
 		err  error
 	}
+	ban struct {
+		id   string
+		lift bool
+		done chan<- banned
+	}
+	setBans struct{ bans []core.Ban }
 )
 
-func startList(addr netip.AddrPort, version int64, report func(poolNews)) *list {
-	l := &list{mail: newMailbox[any](), core: core.NewList(addr, version), calls: map[int]context.CancelFunc{},
-		report: report}
+// banned is what came of a ban or a lift, and all bans that hold after it.
+type banned struct {
+	listed bool
+	err    error
+	bans   []core.Ban
+}
+
+func startList(addr netip.AddrPort, known protocol.PoolConfig, bans []core.Ban, clock clock, f *figures.Figures,
+	report func(poolNews)) *list {
+	l := &list{mail: newMailbox[any](), core: core.NewList(addr, known, bans), calls: map[int]context.CancelFunc{},
+		report: report, clock: clock, figures: f}
+	l.report(poolNews{kind: decide.SyncSaved, config: l.core.Known(known), told: known})
+	l.count()
 	go l.mail.receive(l.handle)
 	return l
 }
@@ -72,10 +93,34 @@
 	case callEnded:
 		delete(l.calls, m.call)
 		l.do(l.core.CallEnded(m.call, m.err))
+	case ban:
+		m.done <- l.ban(m)
+	case setBans:
+		l.do(l.core.SetBans(m.bans))
 	}
+	l.count()
 	return true
 }
 
+// ban takes a booking server out, or puts it back.
+func (l *list) ban(m ban) (b banned) {
+	var out []core.ListOutput
+	if m.lift {
+		out, b.listed = l.core.Lift(m.id, l.clock.now())
+	} else {
+		out, b.listed, b.err = l.core.Ban(m.id)
+	}
+	l.do(out)
+	b.bans = l.core.Bans()
+	return b
+}
+
+// count tells how many are listed.
+func (l *list) count() {
+	listed, banned := l.core.Size()
+	l.figures.SetPool(figures.Pool{Listed: listed, Banned: banned})
+}
+
 func (l *list) do(out []core.ListOutput) {
 	for _, o := range out {
 		switch o.Kind {
@@ -88,7 +133,7 @@
 				cancel() // its end is told
 			}
 		case core.News:
-			l.report(poolNews{kind: o.Sync, config: o.Config, confirms: o.Confirms})
+			l.report(poolNews{kind: o.Sync, config: o.Config, told: o.Told, byHand: o.ByHand, confirms: o.Confirms})
 		case core.OutOfOrder:
 			slog.Warn("pool config out of order, asking for the whole list", "version", o.Version, "known", o.Known)
 		case core.CallFailed:
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -9,6 +9,7 @@
 
 	"dunestep/decide"
 	"dunestep/internal/core"
+	"dunestep/internal/figures"
 	"dunestep/internal/protocol"
 	"dunestep/internal/state"
 	"dunestep/internal/transport"
@@ -25,6 +26,8 @@
 	Proof       state.Proof
 	Descriptors *transport.Descriptors
 	Bodies      *transport.Bodies
+	Figures     *figures.Figures
+	Bans        []core.Ban           // that hold from the start
 	Datagrams   *transport.Datagrams // nil where agents do not talk to one another
 	// Changed is told, from the module's actor, that something of weight has changed in what is kept; nil:
 	// nobody is.
@@ -40,6 +43,9 @@
 
 	// Owned by the actor.
 	gate       *storm.Gate // before the decision module
+	balancer   *decide.Balancer
+	figures    *figures.Figures
+	viewed     time.Duration // when the module's view was last told to the figures
 	router     *core.Router
 	kept       kept
 	list       *list
@@ -70,6 +76,9 @@
 
 // Start starts the actors. The module learns the known list at once and asks discovery for news.
 func Start(set Settings) (*Agent, error) {
+	if set.Figures == nil {
+		set.Figures = figures.New(nil)
+	}
 	permitted := core.Permitted(set.Deployment.Settings)
 	balancer, err := decide.New(permitted, set.Seed)
 	if err != nil {
@@ -79,19 +88,19 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{mail: newMailbox[any](), clock: newClock(), gate: gate,
+	a := &Agent{mail: newMailbox[any](), clock: newClock(), gate: gate, balancer: balancer, figures: set.Figures,
 		router: core.NewRouter(permitted, gate), servers: map[string]*booking{},
 		operations: map[uint32]*operation{}}
 	limit := &idleLimit{core: core.NewIdleLimit(a.clock.now(), set.Deployment.ConnIdle)}
 	a.upstream = upstreamSettings{clock: a.clock, connectTimeout: set.Deployment.ConnectTimeout,
-		idleLimit: limit, descriptors: set.Descriptors, bodies: set.Bodies}
+		idleLimit: limit, descriptors: set.Descriptors, bodies: set.Bodies,
+		figures: set.Figures}
 	a.kept = kept{session: state.NewSession(set.Start, balancer, gate, limit, set.Proof),
 		proves: set.Proof.Wanted, changed: set.Changed, clock: a.clock}
-	a.list = startList(set.Discovery, set.Start.List.Version, func(n poolNews) { a.mail.put(n) })
+	a.list = startList(set.Discovery, set.Start.List, set.Bans, a.clock, set.Figures, func(n poolNews) { a.mail.put(n) })
 	if set.Datagrams != nil {
 		a.agents = startAgents(set.Datagrams)
 	}
-	a.mail.put(poolNews{kind: decide.SyncSaved, config: set.Start.List})
 	go a.mail.receive(a.handle)
 	return a, nil
 }
@@ -164,9 +173,48 @@
 	case reclaim:
 		a.do(a.router.Reclaim())
 	}
+	a.view(now)
 	return true
 }
 
+// viewEvery is how often the figures are told whom the module avoids, at most.
+const viewEvery = 100 * time.Millisecond
+
+// view tells the figures whom the module avoids. It comes with what is handled anyway: the module's rounds at
+// the latest.
+func (a *Agent) view(now time.Duration) {
+	if a.balancer != nil && now-a.viewed >= viewEvery {
+		a.viewed = now
+		a.figures.SetAvoided(a.balancer.Avoided())
+	}
+}
+
+// Ban takes a booking server out by hand, Lift puts it back. Listed is false where no list ever had the id;
+// bans are all that hold after it.
+func (a *Agent) Ban(ctx context.Context, id string) (bans []core.Ban, listed bool, err error) {
+	return a.ban(ctx, ban{id: id})
+}
+
+// Lift puts a booking server back; see Ban.
+func (a *Agent) Lift(ctx context.Context, id string) (bans []core.Ban, listed bool, err error) {
+	return a.ban(ctx, ban{id: id, lift: true})
+}
+
+func (a *Agent) ban(ctx context.Context, m ban) ([]core.Ban, bool, error) {
+	done := make(chan banned, 1)
+	m.done = done
+	a.list.mail.put(m)
+	select {
+	case b := <-done:
+		return b.bans, b.listed, b.err
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+}
+
+// SetBans has those bans hold that another process of this agent knows.
+func (a *Agent) SetBans(bans []core.Ban) { a.list.mail.put(setBans{bans}) }
+
 // begin hands an operation to the core, which gives it its number.
 func (a *Agent) begin(now time.Duration, o *operation) {
 	id, out := a.router.Arrive(now, o.Operation, a.clock.at(o.Sent))
@@ -245,6 +293,8 @@
 	case core.RetireServer:
 		a.servers[out.Server].mail.put(retire{})
 		delete(a.servers, out.Server)
+	case core.RestServer:
+		a.servers[out.Server].mail.put(rest{})
 	case core.LetGo:
 		a.servers[out.Server].mail.put(letGo{})
 	case core.Log:
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"dunestep/internal/core"
+	"dunestep/internal/figures"
 	"dunestep/internal/flow"
 	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
@@ -39,12 +39,14 @@
 	clients   *clients
 	operator  Operator
 	bodies    *Bodies
-	draining  atomic.Bool
+	figures   *figures.Figures
+	leaving   leaving
 }
 
 // NewFront returns a front that listens nowhere yet.
-func NewFront(d *Descriptors, bodies *Bodies, o Operator) *Front {
-	f := &Front{operator: o, bodies: bodies, clients: &clients{descriptors: d, conns: map[*frontConn]struct{}{}}}
+func NewFront(d *Descriptors, bodies *Bodies, counts *figures.Figures, o Operator) *Front {
+	f := &Front{operator: o, bodies: bodies, figures: counts, clients: &clients{descriptors: d, conns: map[*frontConn]struct{}{},
+		empty: make(chan struct{}, 1)}}
 	f.server = &http.Server{
 		// Not a ServeMux: it would clean paths and redirect, and an operation's target goes on unchanged.
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -64,12 +66,12 @@
 			}
 			switch {
 			case framed == framedTwice:
-				f.answer(w, r, x, protocol.Answer{Kind: protocol.Malformed, Body: []byte("two lengths\n")})
+				f.answer(w, r, x, protocol.Answer{Kind: protocol.Malformed, Body: []byte("two lengths\n")}, nil)
 			case r.URL.Path == "/health/ready":
-				conn.closeWith(w.Header())
+				f.closeWith(conn, w.Header())
 				f.ready(w)
 			case r.URL.Path == "/health/live":
-				conn.closeWith(w.Header())
+				f.closeWith(conn, w.Header())
 			default:
 				f.operate(w, r, x, until)
 			}
@@ -112,38 +114,20 @@
 	return forms[last](r)
 }
 
-// Serve accepts until Drain, or until a socket fails.
+// Serve accepts until StopListening, or until a socket fails.
 func (f *Front) Serve() error {
 	ended := make(chan error, len(f.listeners))
 	for _, l := range f.listeners {
 		go func() { ended <- f.server.Serve(l) }()
 	}
 	for range f.listeners {
-		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		if err := <-ended; !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 	}
 	return nil
 }
 
-// StopReady makes the agent say that it is not ready, while it goes on serving.
-func (f *Front) StopReady() { f.draining.Store(true) }
-
-// Drain stops accepting, closes connections as they fall idle and returns when all are closed, or ctx ends.
-func (f *Front) Drain(ctx context.Context) error {
-	for _, l := range f.listeners {
-		_ = l.Close()
-	}
-	f.clients.closeSilent() // the library gives these five seconds more
-	return f.server.Shutdown(ctx)
-}
-
-func (f *Front) ready(w http.ResponseWriter) {
-	if f.draining.Load() || !f.operator.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 func (f *Front) operate(w http.ResponseWriter, r *http.Request, x protocol.Exchange, until time.Time) {
 	conn := r.Context().Value(connKey{}).(*frontConn)
 	if r.ContentLength != 0 {
@@ -155,16 +139,23 @@
 		}
 		return f.room(r, bytes, until)
 	})
+	class := ""
+	if op != nil {
+		class = op.Class
+	}
+	counted := f.figures.Begin(class)
+	defer counted.End(figures.Abandoned)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.Is(err, protocol.ErrTooLong) || errors.As(err, &tooLong):
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.TooLong, Body: []byte(protocol.ErrTooLong.Error() + "\n")})
+		f.answer(w, r, x, protocol.Answer{Kind: protocol.TooLong, Body: []byte(protocol.ErrTooLong.Error() + "\n")},
+			counted)
 		return
 	case errors.Is(err, memory.ErrFull):
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.BusyReply, Body: []byte("busy\n")})
+		f.answer(w, r, x, protocol.Answer{Kind: protocol.BusyReply, Body: []byte("busy\n")}, counted)
 		return
 	case err != nil:
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")})
+		f.answer(w, r, x, protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")}, counted)
 		return
 	}
 	op.Sent = conn.taken()
@@ -175,8 +166,8 @@
 	if !owed {
 		panic(http.ErrAbortHandler) // closes the connection: a return would write an empty 200
 	}
-	conn.closeWith(w.Header())
-	f.answer(w, r, x, answer)
+	f.closeWith(conn, w.Header())
+	f.answer(w, r, x, answer, counted)
 }
 
 // room waits for memory for a request's body, until it is too late for the request.
@@ -192,8 +183,9 @@
 }
 
 // answer writes an answer, and closes the connection where that can't be done to the end: what was written
-// may look whole.
-func (f *Front) answer(w http.ResponseWriter, r *http.Request, x protocol.Exchange, a protocol.Answer) {
+// may look whole. It counts how the operation ended.
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, x protocol.Exchange, a protocol.Answer,
+	counted *figures.Operation) {
 	if a.Kind == protocol.Malformed || a.Kind == protocol.TooLong {
 		w.Header().Set("Connection", "close") // and what is left of the request is not waited for
 	}
@@ -207,6 +199,7 @@
 			err = out.pass(r.Context(), a.Flow)
 		}
 	}
+	counted.End(ending(a.Kind, err, out.lost || r.Context().Err() != nil))
 	if err != nil {
 		// HTTP/1.0 has no chunks: but for a reset, what broke off would look whole.
 		if errors.Is(err, os.ErrDeadlineExceeded) || !r.ProtoAtLeast(1, 1) {
@@ -217,6 +210,22 @@
 	}
 }
 
+// ending is how an operation ended by its answer, and why that could not be written to the end. Lost: the
+// client takes no more of it.
+func ending(kind protocol.AnswerKind, err error, lost bool) figures.Ending {
+	switch {
+	case err != nil && lost:
+		return figures.Abandoned
+	case err != nil:
+		return figures.Error
+	case kind == protocol.Served:
+		return figures.OK
+	case kind == protocol.BusyReply:
+		return figures.Shed
+	}
+	return figures.Error
+}
+
 // answerWriter writes an answer to a client that gets on with taking it.
 type answerWriter struct {
 	http.ResponseWriter
@@ -224,6 +233,20 @@
 	stall   time.Duration // for a write
 	begins  bool          // what is written is not the whole answer yet
 	renewed time.Time
+	lost    bool // a write has failed: the client takes no more
+}
+
+// Write notes that the client is lost.
+func (o *answerWriter) Write(b []byte) (int, error) {
+	n, err := o.ResponseWriter.Write(b)
+	o.lost = o.lost || err != nil
+	return n, err
+}
+
+func (o *answerWriter) flush() error {
+	err := o.control.Flush()
+	o.lost = o.lost || err != nil
+	return err
 }
 
 // renewEvery is by how much a write's time may be too short: to renew it costs as much as a small write.
@@ -248,13 +271,13 @@
 				began = true
 				defer context.AfterFunc(ctx, func() { f.Cut(flow.ErrLeft) })()
 			}
-			if err := o.control.Flush(); err != nil {
+			if err := o.flush(); err != nil {
 				return err
 			}
 		}
 		b, err := f.Next()
 		if errors.Is(err, io.EOF) && o.begins {
-			err = cmp.Or(o.control.Flush(), err)
+			err = cmp.Or(o.flush(), err)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dunestep/decide"
+	"dunestep/internal/figures"
 	"dunestep/internal/flow"
 	"dunestep/internal/graphql"
 	"dunestep/internal/memory"
@@ -33,14 +34,12 @@
 
 // serveFront serves a front socket and returns a way to connect to it.
 func serveFront(t *testing.T, a agent, bodies *Bodies, forms ...protocol.Form) (dial func() net.Conn) {
-	f := NewFront(NewDescriptors(1024, func() {}), bodies, a)
+	f := NewFront(NewDescriptors(1024, func() {}), bodies, figures.New(nil), a)
 	require.NoError(t, f.Listen(netip.MustParseAddrPort("127.0.0.1:0"), forms...))
 	served := make(chan struct{})
 	go func() { defer close(served); _ = f.Serve() }()
 	t.Cleanup(func() {
-		ended, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = f.Drain(ended)
+		f.Close()
 		<-served
 	})
 	return func() net.Conn {
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -1,10 +1,13 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"dunestep/internal/protocol"
@@ -43,10 +46,12 @@
 	front  *clients
 	forms  []protocol.Form // in which requests may come on it
 	opened time.Time
+	raw    syscall.RawConn
 
 	mu      sync.Mutex
 	state   connState
 	since   time.Time // of the state
+	gentle  bool      // to be ended unless something has come
 	linger  bool      // an error was answered while the client may still be sending
 	framing framing
 	// standing looks whether the connection has stood idle for long enough to be closed. It runs on while a
@@ -58,6 +63,9 @@
 // request that crossed the close was never read, and its client sends it again.
 func (c *frontConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.endsGently() {
+		n, err = c.Conn.Read(b)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -258,6 +266,7 @@
 	descriptors *Descriptors
 	mu          sync.Mutex
 	conns       map[*frontConn]struct{}
+	empty       chan struct{} // is told when the last one has gone
 }
 
 func (l *frontListener) Accept() (net.Conn, error) {
@@ -270,8 +279,14 @@
 		return nil, err
 	}
 	_ = conn.(*net.TCPConn).SetWriteBuffer(kernelBuffer)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = conn.Close()
+		l.descriptors.releaseFront()
+		return nil, err
+	}
 	now := time.Now()
-	c := &frontConn{Conn: conn, front: l.clients, forms: l.forms, opened: now, since: now}
+	c := &frontConn{Conn: conn, raw: raw, front: l.clients, forms: l.forms, opened: now, since: now}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -303,21 +318,15 @@
 func (l *clients) forget(c *frontConn) {
 	l.mu.Lock()
 	delete(l.conns, c)
+	last := len(l.conns) == 0
 	l.mu.Unlock()
-	l.descriptors.releaseFront()
-}
-
-// closeSilent closes the connections on which nothing has come.
-func (l *clients) closeSilent() {
-	l.mu.Lock()
-	var silent []*frontConn
-	for c := range l.conns {
-		silent = append(silent, c)
-	}
-	l.mu.Unlock()
-	for _, c := range silent {
-		c.evict(connSilent, c.opened)
+	if last {
+		select {
+		case l.empty <- struct{}{}:
+		default:
+		}
 	}
+	l.descriptors.releaseFront()
 }
 
 func (l *frontListener) Close() error {
--- /dev/null
+++ b/internal/transport/ops.go
@@ -0,0 +1,178 @@
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"dunestep/internal/figures"
+	"dunestep/internal/protocol"
+)
+
+const (
+	// opsCallers is how many connections the ops socket holds at most.
+	opsCallers = 16
+	// OpsDescriptors are set aside for the ops socket: its callers, its listener and one that is being accepted.
+	OpsDescriptors = opsCallers + 2
+	// opsWait is how long a caller has for its call, and for taking the answer.
+	opsWait = 2 * time.Second
+	// opsAnswer is by when an answer is given in any case.
+	opsAnswer = 800 * time.Millisecond
+)
+
+// Operations is what operators may ask for.
+type Operations interface {
+	// Readiness tells whether this process takes clients.
+	Readiness() bool
+	Figures() figures.Reading
+	// Ban takes a booking server out, Lift puts it back; listed is false where the list never had that id. The
+	// error says why it can't be done.
+	Ban(ctx context.Context, id string) (listed bool, err error)
+	Lift(ctx context.Context, id string) (listed bool, err error)
+	// Drain sends clients away, or takes them again.
+	Drain(on bool)
+}
+
+// OpsSocket is the operators' own door. Its descriptors are set aside, and nothing that it does waits for
+// clients' work.
+type OpsSocket struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// ListenOps opens the socket; Serve begins to answer there.
+func ListenOps(addr netip.AddrPort, o Operations) (*OpsSocket, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	callers := &opsListener{Listener: l, open: map[*opsConn]struct{}{}}
+	s := &OpsSocket{listener: callers, server: &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxServerID+4)
+			answerOps(w, r, o)
+		}),
+		ReadTimeout: opsWait, WriteTimeout: 2 * opsWait, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}}
+	s.server.SetKeepAlivesEnabled(false) // one call to a connection
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *OpsSocket) Addr() net.Addr { return s.listener.Addr() }
+
+// Serve answers until Close, or until the socket fails.
+func (s *OpsSocket) Serve() error { return s.server.Serve(s.listener) }
+
+// Close ends Serve and all calls.
+func (s *OpsSocket) Close() { _ = s.server.Close() }
+
+func answerOps(w http.ResponseWriter, r *http.Request, o Operations) {
+	call, status := protocol.DecodeOpsCall(r)
+	r.Context().Value(connKey{}).(*opsConn).whole()
+	ctx, cancel := context.WithTimeout(r.Context(), opsAnswer)
+	defer cancel()
+	text := ""
+	switch {
+	case status != http.StatusOK:
+	case call.Kind == protocol.OpsReadiness && !o.Readiness():
+		status = http.StatusServiceUnavailable
+	case call.Kind == protocol.OpsStats:
+		raw, err := protocol.EncodeOpsStats(o.Figures())
+		if err != nil {
+			status = http.StatusInternalServerError
+		}
+		w.Header().Set("Content-Type", "application/json")
+		text = string(raw) + "\n"
+	case call.Kind == protocol.OpsDown:
+		status, text = banned(o.Ban(ctx, call.ID))
+	case call.Kind == protocol.OpsUp:
+		status, text = banned(o.Lift(ctx, call.ID))
+	case call.Kind == protocol.OpsDrainStart, call.Kind == protocol.OpsDrainStop:
+		o.Drain(call.Kind == protocol.OpsDrainStart)
+	}
+	if text == "" {
+		text = http.StatusText(status) + "\n"
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
+
+// banned is the answer to a call for a booking server.
+func banned(listed bool, err error) (status int, text string) {
+	switch {
+	case err != nil:
+		return http.StatusServiceUnavailable, err.Error() + "\n"
+	case !listed:
+		return http.StatusNotFound, "no such booking server was ever listed\n"
+	}
+	return http.StatusOK, ""
+}
+
+// opsListener holds a bounded number of callers. Guards against those that connect and send no whole call: a
+// further caller takes the place of the oldest of them.
+type opsListener struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*opsConn]struct{}
+}
+
+// opsConn is a caller's connection.
+type opsConn struct {
+	net.Conn
+	listener *opsListener
+	since    time.Time
+	called   bool // its call came whole; the listener's mu
+}
+
+func (l *opsListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &opsConn{Conn: conn, listener: l, since: time.Now()}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	crowded := len(l.open) > opsCallers
+	l.mu.Unlock()
+	if crowded {
+		l.evict()
+	}
+	return c, nil
+}
+
+// evict closes the oldest connection without a whole call; where all have one, the oldest.
+func (l *opsListener) evict() {
+	l.mu.Lock()
+	var oldest *opsConn
+	for c := range l.open {
+		if oldest == nil || !c.called && oldest.called || c.called == oldest.called && c.since.Before(oldest.since) {
+			oldest = c
+		}
+	}
+	l.mu.Unlock()
+	_ = oldest.Close()
+}
+
+// whole tells that the call came whole.
+func (c *opsConn) whole() {
+	c.listener.mu.Lock()
+	c.called = true
+	c.listener.mu.Unlock()
+}
+
+// Close ends the connection.
+func (c *opsConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -57,6 +57,8 @@
 	AtOnce bool
 	// GraphQL is the operation's.
 	GraphQL bool
+	// Written is called when its last byte has been written.
+	Written func()
 	// Begun is called, from the goroutine of Exchange, when the answer is longer than what is held whole. The
 	// reply's flow is to be closed by whoever takes it, also where Exchange returns an error.
 	Begun func(protocol.Reply)
@@ -132,6 +134,9 @@
 		go u.throwAway()
 		return r, false, errors.Join(ErrUnwritten, err)
 	}
+	if s.Written != nil {
+		s.Written()
+	}
 	got := <-u.replies // the reader ends with the answer or with the connection, which ctx closes
 	wanted := func() bool { return true }
 	if got.begun {
