Upgrades: a second process takes over the sockets, bans and what was learned, without a loss

Now both meet in TMPDIR: the listening and the datagram socket are handed over, limits are shared while both run, bans and drains told to either reach the other, and what was learned goes over by internal/state.

--- a/cmd/dunestep/hand.go
+++ b/cmd/dunestep/hand.go
@@ -23,7 +23,7 @@
 	front   *transport.Front
 	counts  *figures.Figures
 	file    *handover.Bans
-	changed func() // something was set, and lies in the file
+	changed func(handover.Hand) // something was set, and lies in the file
 
 	mu      sync.Mutex // one change after the other, so that the file has the latest
 	set     handover.Hand
@@ -109,8 +109,28 @@
 // keep writes what is set to the file; mu is held.
 func (h *hand) keep() error {
 	err := h.file.Write(h.set)
-	if err == nil && h.changed != nil {
-		h.changed()
+	if err == nil {
+		h.changed(h.set)
 	}
 	return err
 }
+
+// adopt has hold what was set at another process of this agent.
+func (h *hand) adopt(set handover.Hand) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	drained := h.set.Drained
+	h.set = set
+	h.agent.SetBans(set.Bans)
+	if set.Drained != drained {
+		h.heir = false
+		h.drain()
+	}
+}
+
+// now is what is set.
+func (h *hand) now() handover.Hand {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.set
+}
--- a/cmd/dunestep/keep.go
+++ b/cmd/dunestep/keep.go
@@ -36,11 +36,14 @@
 	return state.Owner{Deployment: deployment, Agent: s.Name}
 }
 
-// recall reads what is kept, and has it kept from now on. Whatever is wrong with it is told, and the start
+// recall reads what is kept, or takes what was handed over, and has it kept from now on. Whatever is wrong with it is told, and the start
 // goes on without.
-func recall(told instructions) *memory {
+func recall(told instructions, handed *state.File) *memory {
 	m := &memory{told: told, began: make(chan struct{})}
 	from, file := m.read()
+	if handed != nil { // it is newer than what lies on a disk
+		file = handed
+	}
 	start, err := state.Begin(told.Known, file, time.Now())
 	if err != nil {
 		slog.Warn("state not taken over", "error", err)
--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -113,7 +113,6 @@
 	}
 	logging.set(c.operator.Log)
 	slog.SetDefault(slog.New(logging))
-	limit(c.Limits)
 	p := &process{told: c, operatorFile: line.Operator, counts: figures.New(classNames(c.Settings.Classes))}
 	if err := p.start(); err != nil {
 		return err
@@ -157,9 +156,10 @@
 		return
 	}
 	logging.set(c.operator.Log)
-	p.told.Limits = c.Limits
-	p.limit(c.Limits)
-	p.bodies.Set(c.bodies())
+	p.up.mu.Lock()
+	p.told.Limits, p.told.operator = c.Limits, c.operator
+	p.up.mu.Unlock()
+	p.limit()
 	p.agent.SetStorm(c.storm())
 	p.agent.Rediscover(c.Discovery)
 	slog.Info("configuration taken over", "discovery", c.Discovery, "cores", c.Limits.Cores,
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"time"
 
@@ -30,6 +31,8 @@
 	hand         *hand
 	ops          *transport.OpsSocket // nil: there is none
 	served       chan error
+	file         *handover.Bans
+	up           upgrade
 }
 
 func classNames(classes []decide.Class) (names []string) {
@@ -43,41 +46,40 @@
 func (p *process) start() error {
 	c := p.told
 	p.served = make(chan error, 2)
+	p.file = handover.NewBans(os.TempDir(), c.Name, c.Listen)
+	got := p.meet()
 	p.bodies = transport.NewBodies(c.bodies())
-	p.descriptors = transport.NewDescriptors(p.sockets(c.Limits), func() { p.agent.Reclaim() })
-	file := handover.NewBans(os.TempDir(), c.Name, c.Listen)
-	set, err := file.Read()
-	if err != nil {
-		slog.Warn("what was set by hand is not taken over", "error", err)
-	}
-	if err := p.startAgent(set.Bans); err != nil {
+	p.descriptors = transport.NewDescriptors(c.Limits.Sockets, func() { p.agent.Reclaim() })
+	p.limit()
+	if err := p.startAgent(got); err != nil {
 		return err
 	}
 	p.front = transport.NewFront(p.descriptors, p.bodies, p.counts, p.agent)
+	p.front.Inherit(got.listeners)
 	if err := c.listen(p.front); err != nil {
 		return err
 	}
-	p.hand = &hand{agent: p.agent, front: p.front, counts: p.counts, file: file, set: set}
+	p.hand = &hand{agent: p.agent, front: p.front, counts: p.counts, file: p.file, set: got.hand, changed: p.changed}
 	if err := p.startOps(); err != nil {
 		return err
 	}
 	go func() { p.served <- p.front.Serve() }()
 	p.hand.serves()
+	p.await()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(p.kept.start.List.Servers))
 	return nil
 }
 
 // startAgent starts the actors, with the booking servers out that were taken out by hand.
-func (p *process) startAgent(bans []core.Ban) (err error) {
+func (p *process) startAgent(got inheritance) (err error) {
 	c := p.told
-	p.kept = recall(c)
+	p.kept = recall(c, got.file)
 	set := routing.Settings{Deployment: c.Settings, Seed: c.Seed, Discovery: c.Discovery, Start: p.kept.start,
 		Proof:       state.Proof{Wanted: c.operator.State.ProveList, Deploy: seconds(c.operator.State.DeployS)},
-		Descriptors: p.descriptors, Bodies: p.bodies, Figures: p.counts, Bans: bans, Changed: p.kept.changed,
+		Descriptors: p.descriptors, Bodies: p.bodies, Figures: p.counts, Bans: got.hand.Bans, Changed: p.kept.changed,
 		Storm: c.storm()}
 	if c.Settings.Limits.Peers && c.PeerListen.IsValid() {
-		p.datagrams, err = transport.ListenDatagrams(c.PeerListen, protocol.NewAgents(c.Peers, c.PeersAll))
-		if err != nil {
+		if p.datagrams, err = p.listenDatagrams(got.datagrams); err != nil {
 			return err
 		}
 		set.Datagrams = p.datagrams
@@ -96,6 +98,15 @@
 	return nil
 }
 
+// listenDatagrams opens the socket for datagrams, or takes over the one that it was handed.
+func (p *process) listenDatagrams(handed *net.UDPConn) (*transport.Datagrams, error) {
+	agents := protocol.NewAgents(p.told.Peers, p.told.PeersAll)
+	if handed != nil && handed.LocalAddr().String() == p.told.PeerListen.String() {
+		return transport.NewDatagrams(handed, agents), nil
+	}
+	return transport.ListenDatagrams(p.told.PeerListen, agents)
+}
+
 // startOps opens the operators' door, where there is to be one.
 func (p *process) startOps() (err error) {
 	if !p.told.Ops.IsValid() {
@@ -115,17 +126,22 @@
 	return l.Sockets
 }
 
-// limit keeps within the machine's limits from now on.
-func (p *process) limit(l protocol.Limits) {
-	limit(l)
-	p.descriptors.SetLimit(p.sockets(l))
+// limit keeps within this process's part of the machine's limits from now on.
+func (p *process) limit() {
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	part := p.told
+	part.Limits = p.up.share.of(part.Limits)
+	limit(part.Limits)
+	p.descriptors.SetLimit(p.sockets(part.Limits))
+	p.bodies.Set(part.bodies())
 }
 
 // stop ends the process in order.
 func (p *process) stop() {
 	p.hand.ends()
 	written := p.kept.finish(core.NewDrain(0, p.told.Settings.Classes).End())
-	drain(p.front, p.agent, p.told.Settings.Classes)
+	drain(p.front, p.agent, p.told.Settings.Classes, p.ends())
 	<-written
 }
 
@@ -139,19 +155,24 @@
 }
 
 // drain goes through the phases of a planned restart. It returns when all that was taken has been answered,
-// or when the time for it is over.
-func drain(front *transport.Front, agent *routing.Agent, classes []decide.Class) {
+// or when the time for it is over. Taken: another process takes the clients that come.
+func drain(front *transport.Front, agent *routing.Agent, classes []decide.Class, taken bool) {
 	began := time.Now()
 	course := core.NewDrain(0, classes)
 	_, arrived := course.At(0)
 	front.Leave(arrived, true)
+	if taken {
+		front.StopListening()
+	}
 	for {
 		phase, until := course.At(time.Since(began))
 		switch phase {
 		case core.Arriving:
-			<-time.NewTimer(until - time.Since(began)).C
-			front.StopListening()
-			continue
+			if !taken {
+				<-time.NewTimer(until - time.Since(began)).C
+				front.StopListening()
+				continue
+			}
 		case core.Abandoning:
 			slog.Warn("drain cut short: what is unanswered fails now")
 			agent.Abandon()
--- /dev/null
+++ b/cmd/dunestep/upgrade.go
@@ -0,0 +1,320 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"dunestep/internal/handover"
+	"dunestep/internal/protocol"
+	"dunestep/internal/state"
+	"dunestep/internal/transport"
+)
+
+const (
+	// roomEvery is how often it is looked what the other process may hold.
+	roomEvery = 100 * time.Millisecond
+	// ownRoom is what a process that ends may open beyond what it holds, for further route steps.
+	ownRoom = 8
+	// rememberWait is how long it is waited for what was learned.
+	rememberWait = 500 * time.Millisecond
+	// readyEvery is how soon it is looked again whether this process takes clients.
+	readyEvery = 5 * time.Millisecond
+)
+
+// upgrade is this process's part in an upgrade: as the one that takes over, as the one that is taken over from,
+// or neither.
+type upgrade struct {
+	meeting *handover.Meeting
+
+	mu     sync.Mutex
+	share  share          // of the limits, while two processes run
+	old    *handover.Peer // this one takes over from it
+	heir   *handover.Peer // that one takes over from this
+	taken  bool           // it takes clients
+	ending bool
+}
+
+// share is a process's part of the limits; zero: all of it.
+type share struct {
+	sockets  int
+	memoryMB int64
+}
+
+// of is what a process may use.
+func (s share) of(l protocol.Limits) protocol.Limits {
+	if s.sockets > 0 {
+		l.Sockets = min(l.Sockets, s.sockets)
+	}
+	if s.memoryMB > 0 {
+		l.MemoryMB = min(l.MemoryMB, s.memoryMB)
+	}
+	return l
+}
+
+// inheritance is what a process that takes over begins with.
+type inheritance struct {
+	hand      handover.Hand
+	file      *state.File
+	listeners map[netip.AddrPort]*net.TCPListener
+	datagrams *net.UDPConn // nil: none
+}
+
+// meet takes over from a process of this agent that runs, where there is one.
+func (p *process) meet() (got inheritance) {
+	kept, err := p.file.Read()
+	if err != nil {
+		slog.Warn("what was set by hand is not taken over", "error", err)
+	}
+	got.hand.Bans = kept.Bans
+	old, offer, sockets, err := handover.Meet(os.TempDir(), p.told.Name, p.told.Listen)
+	if errors.Is(err, handover.ErrAlone) {
+		return got
+	}
+	if err != nil {
+		slog.Warn("not taken over from the process that runs", "error", err)
+		return got
+	}
+	p.up.old = old
+	p.up.share = share{offer.Sockets, offer.MemoryMB}
+	got.hand = offer.Hand
+	if got.file, err = state.Decode(offer.State); err != nil || got.file.Owner != p.told.owner() {
+		slog.Warn("state not taken over", "error", err)
+		got.file = nil
+	}
+	got.take(sockets)
+	slog.Info("taking over from the process that runs", "sockets", len(sockets), "descriptors", offer.Sockets,
+		"memory_mb", offer.MemoryMB, "out_by_hand", len(offer.Hand.Bans))
+	return got
+}
+
+// take opens the sockets that were handed over. One that is not what it is said to be is left alone.
+func (i *inheritance) take(sockets map[string]*os.File) {
+	i.listeners = map[netip.AddrPort]*net.TCPListener{}
+	for name, f := range sockets {
+		network, text, _ := cutNetwork(name)
+		addr, err := netip.ParseAddrPort(text)
+		switch {
+		case err != nil:
+		case network == "tcp":
+			var l net.Listener
+			if l, err = net.FileListener(f); err == nil && l.Addr().String() == text {
+				i.listeners[addr], _ = l.(*net.TCPListener)
+			}
+		case network == "udp":
+			var c net.PacketConn
+			if c, err = net.FilePacketConn(f); err == nil && c.LocalAddr().String() == text {
+				i.datagrams, _ = c.(*net.UDPConn)
+			}
+		}
+		if err != nil {
+			slog.Warn("socket not taken over", "socket", name, "error", err)
+		}
+		_ = f.Close()
+	}
+}
+
+func cutNetwork(name string) (network, addr string, ok bool) {
+	if len(name) < 5 || name[3] != ' ' {
+		return "", "", false
+	}
+	return name[:3], name[4:], true
+}
+
+// await has this process be met by one that takes over from it, and tells the one before that this one takes
+// clients, as soon as it does.
+func (p *process) await() {
+	go func() {
+		for !p.hand.Readiness() {
+			time.Sleep(readyEvery)
+		}
+		if p.up.old != nil {
+			p.up.old.Tell(handover.Note{Ready: true})
+		}
+	}()
+	if p.up.old != nil {
+		go func() {
+			p.up.old.Listen(p.noted)
+			p.up.mu.Lock()
+			p.up.old = nil
+			p.up.share = share{}
+			p.up.mu.Unlock()
+			p.limit()
+			slog.Info("the process before has ended, all of the limits are this one's")
+		}()
+	}
+	meeting, err := handover.Await(os.TempDir(), p.told.Name, p.told.Listen)
+	if err != nil {
+		slog.Warn("no process can take over from this one", "error", err)
+		return
+	}
+	p.up.meeting = meeting
+	go meeting.Serve(func(err error) { slog.Warn("not met", "error", err) }, p.hands)
+}
+
+// noted takes a note from the other process in.
+func (p *process) noted(n handover.Note) {
+	if n.Hand != nil {
+		p.hand.adopt(*n.Hand)
+	}
+	if n.Sockets > 0 {
+		p.up.mu.Lock()
+		p.up.share.sockets = n.Sockets
+		p.up.mu.Unlock()
+		p.limit()
+	}
+}
+
+// changed tells the other process, where there is one, what staff have set.
+func (p *process) changed(h handover.Hand) {
+	p.up.mu.Lock()
+	others := []*handover.Peer{p.up.old, p.up.heir}
+	p.up.mu.Unlock()
+	for _, o := range others {
+		if o != nil {
+			o.Tell(handover.Note{Hand: &h})
+		}
+	}
+}
+
+// hands hands over to a process that takes over from this one, and returns when it has gone.
+func (p *process) hands(heir *handover.Peer) {
+	sockets, names := p.handed()
+	limits := p.limits()
+	offer := handover.Offer{Handed: names, State: p.remembered(), MemoryMB: max(limits.MemoryMB/2, 1),
+		Sockets: p.room(limits)}
+	p.setHeir(heir, share{limits.Sockets - offer.Sockets, limits.MemoryMB - offer.MemoryMB})
+	debug.FreeOSMemory()
+	offer.Hand = p.hand.now()
+	if err := heir.Give(offer, sockets); err != nil {
+		slog.Warn("not handed over", "error", err)
+	} else {
+		slog.Info("handing over to a new process", "descriptors", offer.Sockets, "memory_mb", offer.MemoryMB)
+		stop := make(chan struct{})
+		go p.tellRoom(heir, offer.Sockets, stop)
+		heir.Listen(func(n handover.Note) {
+			if n.Ready {
+				p.yield()
+			}
+			n.Sockets = 0 // it is for this one to say
+			p.noted(n)
+		})
+		close(stop)
+	}
+	p.setHeir(nil, share{})
+	if p.datagrams != nil {
+		p.datagrams.Speak(true)
+	}
+	slog.Info("the new process has ended, this one goes on")
+}
+
+// yield lets the new process speak for the agent.
+func (p *process) yield() {
+	p.up.mu.Lock()
+	p.up.taken = true
+	p.up.mu.Unlock()
+	if p.datagrams != nil {
+		p.datagrams.Speak(false)
+	}
+	slog.Info("the new process takes clients")
+}
+
+func (p *process) setHeir(heir *handover.Peer, s share) {
+	p.up.mu.Lock()
+	p.up.heir, p.up.share, p.up.taken = heir, s, false
+	p.up.mu.Unlock()
+	p.limit()
+	p.agent.Reclaim() // idle connections are the first to be let go
+}
+
+// ends tells that this process is ending, and whether a new one takes its clients.
+func (p *process) ends() (taken bool) {
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	p.up.ending = true
+	return p.up.taken
+}
+
+// limits are the agent's, both processes together.
+func (p *process) limits() protocol.Limits { return p.instructions().Limits }
+
+// instructions are those that hold now.
+func (p *process) instructions() instructions {
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	return p.told
+}
+
+// room is how many descriptors the new process may hold beside this one: half, or all that this one does not
+// need, once it is ending; what it holds stays its own.
+func (p *process) room(l protocol.Limits) int {
+	held := p.descriptors.Held()
+	if p.told.Ops.IsValid() {
+		held += transport.OpsDescriptors
+	}
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	if p.up.ending {
+		return max(l.Sockets-held-ownRoom, 1)
+	}
+	return max(l.Sockets-max(held, l.Sockets/2), 1)
+}
+
+// tellRoom tells the new process, until stop, what it may hold.
+func (p *process) tellRoom(heir *handover.Peer, told int, stop <-chan struct{}) {
+	every := time.NewTicker(roomEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+		case <-stop:
+			return
+		}
+		limits := p.limits()
+		room := p.room(limits)
+		if room == told {
+			continue
+		}
+		told = room
+		p.up.mu.Lock()
+		p.up.share.sockets = limits.Sockets - room
+		p.up.mu.Unlock()
+		p.limit()
+		heir.Tell(handover.Note{Sockets: room})
+	}
+}
+
+// handed are the sockets that a new process gets, and their names.
+func (p *process) handed() (sockets []syscall.Conn, names []string) {
+	for addr, l := range p.front.Sockets() {
+		sockets, names = append(sockets, l), append(names, "tcp "+addr.String())
+	}
+	if p.datagrams != nil {
+		s := p.datagrams.Socket()
+		sockets, names = append(sockets, s), append(names, "udp "+s.LocalAddr().String())
+	}
+	return sockets, names
+}
+
+// remembered is what was learned, in the form that is kept; empty where it does not come in time.
+func (p *process) remembered() []byte {
+	ctx, cancel := context.WithTimeout(context.Background(), rememberWait)
+	defer cancel()
+	content, ok := p.kept.take(ctx)
+	if !ok {
+		return nil
+	}
+	raw, err := state.Encode(&state.File{Header: state.Header{Owner: p.instructions().owner(),
+		Written: time.Now().UnixMilli()}, Content: content})
+	if err != nil {
+		slog.Warn("state not handed over", "error", err)
+	}
+	return raw
+}
--- a/internal/core/descriptors.go
+++ b/internal/core/descriptors.go
@@ -29,6 +29,9 @@
 // SetLimit changes how many descriptors the process may hold; what is open stays open.
 func (d *Descriptors) SetLimit(limit int) { d.total = max(limit-ownDescriptors, leastDescriptors) }
 
+// Held is how many descriptors the process may hold at the present count of connections.
+func (d *Descriptors) Held() int { return ownDescriptors + d.front + d.upstream }
+
 // TakeFront takes a descriptor for a client. Full tells, with true, that idle clients are to give way, and
 // with false, that the front has its whole share.
 func (d *Descriptors) TakeFront() (ok, full bool) {
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -30,18 +30,30 @@
 
 // bansFile is the file as it is laid out.
 type bansFile struct {
-	Format  int        `json:"format"`
-	Agent   string     `json:"agent"`
-	Drained bool       `json:"drained"`
-	Bans    []core.Ban `json:"bans"`
+	Format int    `json:"format"`
+	Agent  string `json:"agent"`
+	Hand
 }
 
 const bansFormat = 1
 
 // Hand is what staff have set by hand.
 type Hand struct {
-	Bans    []core.Ban
-	Drained bool // clients are sent away
+	Bans    []core.Ban `json:"bans"`
+	Drained bool       `json:"drained"` // clients are sent away
+}
+
+// check tells what can't have been set.
+func (h Hand) check() error {
+	if len(h.Bans) > mostKept {
+		return errors.New("too many booking servers")
+	}
+	for _, b := range h.Bans {
+		if b.ID == "" || len(b.ID) > protocol.MaxServerID || !utf8.ValidString(b.ID) || b.Started < 0 || b.Lifted < 0 {
+			return fmt.Errorf("no booking server is %q", b.ID)
+		}
+	}
+	return nil
 }
 
 // Bans is the file of what was set by hand.
@@ -61,7 +73,7 @@
 
 // Write replaces the file as a whole; it lies on the disk when Write returns.
 func (b *Bans) Write(h Hand) error {
-	raw, err := json.Marshal(bansFile{Format: bansFormat, Agent: b.agent, Drained: h.Drained, Bans: h.Bans})
+	raw, err := json.Marshal(bansFile{Format: bansFormat, Agent: b.agent, Hand: h})
 	if err != nil {
 		return err
 	}
@@ -103,14 +115,6 @@
 		return Hand{}, fmt.Errorf("format %d, known is %d", f.Format, bansFormat)
 	case f.Agent != agent:
 		return Hand{}, fmt.Errorf("it is of agent %q", f.Agent)
-	case len(f.Bans) > mostKept:
-		return Hand{}, errors.New("too many booking servers")
-	}
-	for _, ban := range f.Bans {
-		if ban.ID == "" || len(ban.ID) > protocol.MaxServerID || !utf8.ValidString(ban.ID) || ban.Started < 0 ||
-			ban.Lifted < 0 {
-			return Hand{}, fmt.Errorf("no booking server is %q", ban.ID)
-		}
 	}
-	return Hand{Bans: f.Bans, Drained: f.Drained}, nil
+	return f.Hand, f.Hand.check()
 }
--- a/internal/transport/datagrams.go
+++ b/internal/transport/datagrams.go
@@ -1,9 +1,14 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"dunestep/internal/protocol"
 )
@@ -13,25 +18,69 @@
 	conn   *net.UDPConn
 	agents *protocol.Agents
 	drops  dropLog
+	speaks atomic.Bool
+	mu     sync.Mutex
+	again  chan struct{} // closed when it speaks again; nil: it always has
 }
 
 // ListenDatagrams opens the socket. Datagrams leave from it too: a peer knows the sender by its address.
 func ListenDatagrams(addr netip.AddrPort, agents *protocol.Agents) (*Datagrams, error) {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	c, err := shared.ListenPacket(context.Background(), "udp", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	return &Datagrams{conn: c, agents: agents}, nil
+	return NewDatagrams(c.(*net.UDPConn), agents), nil
 }
 
+// NewDatagrams takes over a socket that is open.
+func NewDatagrams(c *net.UDPConn, agents *protocol.Agents) *Datagrams {
+	d := &Datagrams{conn: c, agents: agents}
+	d.speaks.Store(true)
+	return d
+}
+
+// Speak has this process send and receive for its agent, or leave that to another process that has the socket
+// too. Guards against datagrams that one half of the agent hears and the other half needed.
+func (d *Datagrams) Speak(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.speaks.Swap(on) == on {
+		return
+	}
+	if on {
+		_ = d.conn.SetReadDeadline(time.Time{})
+		close(d.again)
+	} else {
+		d.again = make(chan struct{})
+		_ = d.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// wait returns when this process speaks for its agent.
+func (d *Datagrams) wait() {
+	d.mu.Lock()
+	again := d.again
+	d.mu.Unlock()
+	if !d.speaks.Load() {
+		<-again
+	}
+}
+
+// Socket is what another process of this agent is given.
+func (d *Datagrams) Socket() *net.UDPConn { return d.conn }
+
 // Receive passes on what peers send, until Close. What is malformed or from a stranger is dropped.
 func (d *Datagrams) Receive(f func(protocol.Datagram)) error {
 	buf := make([]byte, protocol.MaxDatagram+1) // one more, so that a longer one shows
 	for {
 		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		} else if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			d.wait()
+			continue
+		case err != nil:
 			return err
 		}
 		dg, err := d.agents.Decode(from, buf[:n])
@@ -46,7 +95,7 @@
 // Send sends one datagram; it may be lost like any other.
 func (d *Datagrams) Send(dg protocol.Datagram) error {
 	to, data, err := d.agents.Encode(dg)
-	if err == nil {
+	if err == nil && d.speaks.Load() {
 		_, err = d.conn.WriteToUDPAddrPort(data, to)
 	}
 	if errors.Is(err, net.ErrClosed) { // the program is ending
@@ -56,4 +105,7 @@
 }
 
 // Close ends Receive.
-func (d *Datagrams) Close() { _ = d.conn.Close() }
+func (d *Datagrams) Close() {
+	_ = d.conn.Close()
+	d.Speak(true)
+}
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -34,6 +34,13 @@
 	d.core.SetLimit(limit)
 }
 
+// Held is how many descriptors the process holds, those that are no connection included.
+func (d *Descriptors) Held() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Held()
+}
+
 func (d *Descriptors) tryFront() (ok, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -10,8 +10,11 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dunestep/internal/core"
 	"dunestep/internal/figures"
 	"dunestep/internal/flow"
@@ -36,6 +39,7 @@
 type Front struct {
 	server    *http.Server
 	listeners []*frontListener
+	inherited map[netip.AddrPort]*net.TCPListener
 	clients   *clients
 	operator  Operator
 	bodies    *Bodies
@@ -95,12 +99,45 @@
 // Listen opens a socket; Serve begins to accept there. Requests on it come in the first of forms that takes
 // them; the last one takes all.
 func (f *Front) Listen(addr netip.AddrPort, forms ...protocol.Form) error {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	if err == nil {
-		f.listeners = append(f.listeners, &frontListener{Listener: l, clients: f.clients, forms: forms,
-			closed: make(chan struct{})})
+	l, inherited := f.inherited[addr]
+	if !inherited {
+		var err error
+		if l, err = listenShared(addr); err != nil {
+			return err
+		}
 	}
-	return err
+	f.listeners = append(f.listeners, &frontListener{Listener: l, addr: addr, clients: f.clients, forms: forms,
+		closed: make(chan struct{})})
+	return nil
+}
+
+// Inherit has Listen use these sockets at their addresses, which another process of this agent listens at too.
+func (f *Front) Inherit(sockets map[netip.AddrPort]*net.TCPListener) { f.inherited = sockets }
+
+// Sockets are those it listens at, by the addresses that Listen was told.
+func (f *Front) Sockets() map[netip.AddrPort]*net.TCPListener {
+	all := map[netip.AddrPort]*net.TCPListener{}
+	for _, l := range f.listeners {
+		all[l.addr] = l.Listener.(*net.TCPListener)
+	}
+	return all
+}
+
+// shared has a socket's address be another process's too. Guards against a new process that can't take over
+// where the two don't meet.
+var shared = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+	inner := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	return cmp.Or(inner, err)
+}}
+
+func listenShared(addr netip.AddrPort) (*net.TCPListener, error) {
+	l, err := shared.Listen(context.Background(), "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
 }
 
 // exchange begins an exchange in the first form that takes the request.
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -254,6 +255,7 @@
 type frontListener struct {
 	net.Listener
 	*clients
+	addr   netip.AddrPort
 	forms  []protocol.Form
 	closed chan struct{}
 	once   sync.Once
