--- a/storm/spell.go
+++ b/storm/spell.go
@@ -198,10 +198,29 @@
 		least = aloneLeast
 	}
 	known := g.firstAnswer > 0 && g.now >= g.firstAnswer+learnsFor
-	return known && weight >= least && factor >= g.fig.SpellFactor && s.supports(g.now) &&
+	return known && weight >= least && factor >= g.fig.SpellFactor/g.able() && s.supports(g.now) &&
 		g.slowShare() >= everywhere && g.carried() < carriedMost
 }
 
+// able is what the servers that take requests can do, as a part of what is usual. Guards against a purge
+// where servers are missing: with many of them out or cold, work takes longer everywhere for want of room, and
+// to rest those that are left mends nothing.
+func (g *Gate) able() float64 {
+	can := 0.0
+	for _, s := range g.inOrder {
+		if !s.ready {
+			continue
+		}
+		warmth := 1.0
+		if age, cold := g.now-s.entry.Started, g.set.Rules.ColdFor; s.entry.Started > 0 && age < cold {
+			from := g.set.Rules.ColdShare
+			warmth = from + (1-from)*max(float64(age)/float64(cold), 0)
+		}
+		can += warmth
+	}
+	return min(max(can/max(g.fleet(), 1), 0.1), 1)
+}
+
 // noteQuiet notices that a spell is over.
 func (s *spell) noteQuiet(now time.Duration, factor, weight float64) {
 	switch {
@@ -364,7 +383,7 @@
 		return
 	}
 	factor, _ := s.pooled(g.now)
-	if g.now > s.called+g.fig.PurgeFor/2 || factor < supporting || !s.supports(g.now) ||
+	if g.now > s.called+g.fig.PurgeFor/2 || factor < supporting/g.able() || !s.supports(g.now) ||
 		!s.may(g.now, factor, grownToJoin) {
 		return
 	}
--- a/storm/spell_test.go
+++ b/storm/spell_test.go
@@ -96,3 +96,29 @@
 		}
 	})
 }
+
+// Guards against a purge where servers are missing: with half of them out or cold, work must be slower by as much
+// more to be a spell.
+func TestMissingServersAreNoSpell(t *testing.T) {
+	l := newLab(1, 12, nil)
+	l.rate = 60
+	g := l.gates[0]
+	tell := func(state decide.ServerState, started time.Duration) {
+		var news []decide.Server
+		for _, s := range g.inOrder[:6] {
+			e := s.entry
+			e.State, e.Started = state, started
+			news = append(news, e)
+		}
+		l.do(0, g.Step(l.now, &decide.Membership{Kind: decide.SyncChange, Servers: news}))
+	}
+	l.run(time.Second)
+	require.InDelta(t, 1, g.able(), 0.01)
+	tell(decide.Draining, 0)
+	require.InDelta(t, 0.5, g.able(), 0.01)
+	cold := g.set.Rules
+	tell(decide.Ready, l.now)
+	require.InDelta(t, 0.5+0.5*cold.ColdShare, g.able(), 0.01)
+	l.run(cold.ColdFor + time.Second)
+	require.InDelta(t, 1, g.able(), 0.01)
+}
