Memory for bodies: slow clients of long answers hold 256 KiB at most, half is for who begins

Of the route steps 97 ran out of time and 79 found no memory: 1,907 waits for memory of 388 ms in the mean, since each of a few clients that take 3 MB at half a MB a second filled 2 of the 8 MB. Ruled out: the servers (what came whole came in 18 to 700 ms), descriptors (427 of 1,024), CPU (0.11 of a core at most). The new test fails without the change.

--- a/cmd/dunestep/answers_test.go
+++ b/cmd/dunestep/answers_test.go
@@ -694,3 +694,28 @@
 	require.Less(t, peak, 24<<10)
 	require.Less(t, after, before+2<<10)
 }
+
+// Clients that take nothing of long answers leave memory to those who begin. Guards against a few of them that hold
+// all of it, while others wait until their time is up.
+func TestSlowClientsLeaveMemory(t *testing.T) {
+	w := start(t, 2, (*world).patient, func(w *world) {
+		w.config["limits"].(object)["memory_mb"] = 32
+		w.operator = "[answers]\nstall_ms = 60000\nlag_ms = 60000\n"
+	})
+	for _, s := range w.servers {
+		s.set(func(s step) string { return reply("200 OK", long(3_000_000, idOf(s))) })
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	for range 24 {
+		go w.crawl(w.request("consult", 60000), stop)
+	}
+	w.until("they are there", func() bool { return w.seen() == 24 })
+	for _, s := range w.servers {
+		s.set(func(s step) string { return reply("200 OK", long(200_000, idOf(s))) })
+	}
+	for range 5 {
+		id, g := w.take("rezervare", 5000)
+		g.is(t, got{200, long(200_000, id), nil})
+	}
+}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -242,6 +242,13 @@
 	}
 }
 
+// Begun tells that the body is being passed on: from now on one chunk is all that it needs to get on.
+func (f *Flow) Begun() {
+	f.mu.Lock()
+	f.least = min(f.least, Chunk)
+	f.mu.Unlock()
+}
+
 // OnStop has something done, once, when the rest of the body is not wanted: then whoever waits for it
 // elsewhere than in Room is to be woken. Never, called after End, tells that it has not been done and will
 // not be; else it may still be about to be.
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -82,9 +82,10 @@
 	return a.ticket, false
 }
 
-// Try grants size bytes more only if that keeps nobody waiting, now or soon: never the last quarter.
+// Try grants size bytes more only if that keeps nobody waiting, now or soon: never the second half,
+// which is for those who begin.
 func (b *Budget) Try(holder Holder, size int64) bool {
-	if len(b.waiting) > 0 || b.used+size > b.limit-b.limit/4 || b.fits(holder, size) != fits {
+	if len(b.waiting) > 0 || b.used+size > b.limit/2 || b.fits(holder, size) != fits {
 		return false
 	}
 	b.hold(holder, size)
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -18,7 +18,7 @@
 type Answers struct {
 	// LongestKB is how many KiB a booking server's answer may have: what is longer, or is said to be, is spoilt.
 	LongestKB int64 `toml:"longest_kb" min:"64" max:"1048576"`
-	// WholeKB is up to how many KiB an answer is held until it has come whole; zero: by the memory.
+	// WholeKB is up to how many KiB an answer is held until it has come whole; zero: 64.
 	WholeKB int64 `toml:"whole_kb" min:"0" max:"65536"`
 	// MemoryShare is the part of limits.memory_mb that all bodies together may occupy.
 	MemoryShare float64 `toml:"memory_share" min:"0.02" max:"0.5"`
--- a/internal/transport/bodies.go
+++ b/internal/transport/bodies.go
@@ -8,16 +8,16 @@
 	"dunestep/internal/memory"
 )
 
-// The length up to which an answer is held whole, where no rule says it, is a part of the bodies' memory
-// within these bounds: so many answers may be held at once.
-const (
-	wholePart  = 64
-	leastWhole = 64 << 10
-	mostWhole  = 512 << 10
-)
+// defaultWhole is the length up to which an answer is held whole, where no rule says it: of a longer one the
+// first bytes are what its client times.
+const defaultWhole = 64 << 10
+
+// wholePart of the bodies' memory is the most that is held of an answer until it is whole.
+const wholePart = 4
 
-// answerPart of the bodies' memory is the most that one answer may fill while its client is slow.
-const answerPart = 4
+// mostAhead is the most that one body may fill while it is taken more slowly than it comes. Guards against a
+// few slow clients of long answers, who would hold the memory that all others wait for.
+const mostAhead = 256 << 10
 
 // kernelBuffer bounds what the kernel holds of a body for one connection, beside the bodies' memory.
 // Without it, that grows to several MB for a client that does not read.
@@ -26,7 +26,7 @@
 // BodyRules is what the sockets go by for bodies.
 type BodyRules struct {
 	Longest int64         // bytes of an answer: what is longer, or is said to be, is spoilt
-	Whole   int64         // an answer up to this long is held until it has come whole; zero: by the memory
+	Whole   int64         // an answer up to this long is held until it has come whole; zero: 64 KiB
 	Stall   time.Duration // a client that takes nothing of its answer for so long is cut off
 	Lag     time.Duration // how much longer than the server needs a client may hold up the server's connection
 }
@@ -55,9 +55,9 @@
 	r := *b.rules.Load()
 	limit := b.Memory.Limit()
 	if r.Whole == 0 {
-		r.Whole = min(max(limit/wholePart, leastWhole), mostWhole)
+		r.Whole = defaultWhole
 	}
-	r.Whole = min(r.Whole, r.Longest, limit/answerPart)
+	r.Whole = min(r.Whole, r.Longest, limit/wholePart)
 	return r
 }
 
@@ -68,7 +68,7 @@
 		return length, length
 	}
 	least = r.Whole + flow.Chunk
-	most = max(least, b.Memory.Limit()/answerPart)
+	most = max(least, min(b.Memory.Limit()/wholePart, mostAhead))
 	if length >= 0 {
 		least, most = min(least, length), min(most, length)
 	}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -282,6 +282,7 @@
 		case err != nil:
 		case !begun && came != body.Length && (step.AtOnce || goesOn(body.Length, came, time.Since(since), rules)):
 			begun = true
+			f.Begun()
 			u.replies <- reply{Reply: *r, begun: true}
 		}
 	}
