Bodies over 64 KiB are passed on as they come; limits on slow requests go by progress

Now a body is held up to 64 KiB and flows beyond, in 32 to 256 KiB of memory, with back-pressure; its time counts from its last byte; it goes to another server only while nothing of it is gone, and is refused at once after that. Ruled out: reading it whole where memory allows (32 MB in 32 MB), a spool in TMPDIR (counts as memory).

--- /dev/null
+++ b/cmd/dunestep/uploads_test.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// counted has a booking server answer with how long a body was that it got, and whether it is the client's.
+func counted(w *world) {
+	w.each(func(s step) string {
+		return reply("200 OK", fmt.Sprint(len(s.body), s.body == long(len(s.body), idOf(s))))
+	})
+}
+
+// upload begins a request with a body and returns its connection and id.
+func (w *world) upload(head string) (net.Conn, string) {
+	id := w.id()
+	return w.raw("POST /rezervare/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: " + id + "\r\nX-Account: acme\r\n" +
+		"X-Time-Left-Ms: 3000\r\n" + head + "\r\n\r\n"), id
+}
+
+// answered reads an answer.
+func answered(t *testing.T, c net.Conn) (int, string) {
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// Bodies of any size pass, in every form, and in small pieces; memory does not grow with them.
+func TestUploads(t *testing.T) {
+	plain := filepath.Join(t.TempDir(), "dunestep") // the race detector takes several times the memory
+	out, err := exec.Command("go", "build", "-o", plain, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	w := start(t, 2, (*world).patient, counted, func(w *world) {
+		w.program = plain
+		w.config["limits"].(object)["memory_mb"] = 32
+	})
+	for _, size := range []int{65535, 65536, 65537, 100_000, 3_000_000, 32 << 20} {
+		for _, head := range []string{fmt.Sprint("Content-Length: ", size), "Transfer-Encoding: chunked",
+			fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue", size)} {
+			c, id := w.upload(head)
+			if strings.Contains(head, "Expect") {
+				goOn := make([]byte, 25)
+				_, err := io.ReadFull(c, goOn)
+				require.NoError(t, err)
+				require.Equal(t, "HTTP/1.1 100 Continue\r\n\r\n", string(goOn))
+			}
+			body := long(size, id)
+			if strings.Contains(head, "chunked") {
+				body = fmt.Sprintf("1;a=b\r\n%s\r\n%x\r\n%s\r\n0\r\nA: b\r\n\r\n", body[:1], size-1, body[1:])
+			}
+			go func() { _, _ = io.WriteString(c, body) }()
+			status, text := answered(t, c)
+			require.Equal(t, 200, status, head)
+			require.Equal(t, fmt.Sprint(size, true), text, head)
+		}
+	}
+	peak, _ := w.memory()
+	require.Less(t, peak, 32<<10)
+}
+
+// A slow head and a body at 64 kB/s are served, though they take longer than the request's time.
+func TestSlowUpload(t *testing.T) {
+	w := start(t, 2, counted)
+	id := w.id()
+	c := w.raw("POST /rezervare/x HTTP/1.1\r\n")
+	time.Sleep(1800 * time.Millisecond)
+	const size = 128 << 10
+	_, _ = fmt.Fprintf(c, "Host: x\r\nX-Correlation-Id: %s\r\nX-Account: acme\r\nX-Time-Left-Ms: 900\r\n"+
+		"Content-Length: %d\r\n\r\n", id, size)
+	for body := long(size, id); len(body) > 0; body = body[8<<10:] {
+		time.Sleep(125 * time.Millisecond)
+		_, err := io.WriteString(c, body[:8<<10])
+		require.NoError(t, err)
+	}
+	status, text := answered(t, c)
+	require.Equal(t, 200, status, text)
+	require.Equal(t, fmt.Sprint(size, true), text)
+}
+
+// A body that stands still is answered in time, and booking servers never had it whole.
+func TestUploadThatStops(t *testing.T) {
+	w := start(t, 2, counted)
+	for _, sent := range []int{0, 1000, 100_000} {
+		c, id := w.upload("Content-Length: 200000")
+		_, _ = io.WriteString(c, long(200_000, id)[:sent])
+		began := time.Now()
+		status, _ := answered(t, c)
+		require.Equal(t, 400, status)
+		require.Less(t, time.Since(began), 6*time.Second)
+	}
+	c, id := w.upload("Content-Length: 200000")
+	_, _ = io.WriteString(c, long(200_000, id)[:100_000])
+	_ = c.Close() // or its client leaves
+	c, _ = w.upload("Content-Length: 60000000")
+	status, _ := answered(t, c)
+	require.Equal(t, 413, status)
+	require.Zero(t, w.seen())
+	w.served("rezervare")
+	require.NotContains(t, w.log.String(), "down")
+}
+
+// A body that has not been passed on yet goes to another booking server; one that has is refused honestly, since
+// nothing has run.
+func TestUploadThatIsTurnedAway(t *testing.T) {
+	w := start(t, 2, (*world).patient, counted)
+	w.servers[0].stop()
+	w.servers[1].stop()
+	c, id := w.upload("Content-Length: 200000")
+	_, _ = io.WriteString(c, long(200_000, id))
+	status, _ := answered(t, c)
+	require.Equal(t, 503, status)
+}
+
+// A booking server that answers before it has the whole body is believed only where it turns away.
+func TestAnswerBeforeTheBody(t *testing.T) {
+	w := start(t, 2, (*world).patient)
+	early := make(chan struct{}, 9)
+	for _, s := range w.servers {
+		s.socket.Close()
+		l, err := net.Listen("tcp", s.socket.Addr())
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1000))
+				_, _ = io.WriteString(c, reply("503 No", "", "X-Unprocessed: 1"))
+				early <- struct{}{}
+			}
+		}()
+	}
+	c, id := w.upload("Content-Length: 20000000")
+	_, _ = io.WriteString(c, long(200_000, id))
+	status, _ := answered(t, c)
+	require.Equal(t, 503, status)
+	await(t, early)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,8 +33,12 @@
 	// the rest follows as it comes, and the step's time is over: MayGoOn says what holds from now on.
 	Answer OutputKind = iota
 	// StartStep sends the operation to a booking server: Operation, Attempt, Server, At (when it is given up),
-	// Deadline, Begins (its answer is passed on from the first byte on).
+	// Deadline, Begins (its answer is passed on from the first byte on), After (how long it is waited for from
+	// the operation's last byte on, where that has not come; else zero).
 	StartStep
+	// RetimeStep sets anew when a route step is given up, since its operation has come whole: Operation,
+	// Attempt, At, Deadline.
+	RetimeStep
 	// CancelStep gives a route step up now: Operation, Attempt, Why. Its end is told as any other.
 	CancelStep
 	// Forget tells that nothing more is asked about the operation, nor taken in: Operation.
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -64,7 +64,8 @@
 	Reused  bool          // else the connection was a new one
 	Stood   time.Duration // idle before it was reused
 	Refused bool          // the booking server's machine: nothing listens there
-	Ours    bool          // no connection, for want of something on this side
+	Ours    bool          // no connection, for want of something on this side, or the client stopped sending
+	Spent   bool          // a part of the operation was passed on that is gone: it can't be sent again
 	Late    time.Duration // by how much this side was late to act when its time was up
 }
 
--- a/internal/core/router.go
+++ b/internal/core/router.go
@@ -12,6 +12,9 @@
 // AnswerMargin is taken off the client's time, so that the final answer is there before the client leaves.
 const AnswerMargin = 5 * time.Millisecond
 
+// comesWithin bounds how long an operation may be coming; that it gets on is the front socket's to see.
+const comesWithin = 15 * time.Minute
+
 // Module makes the decisions: decide.Balancer, or a test's.
 type Module interface {
 	Step(now time.Duration, ev decide.Event) []decide.Action
@@ -55,6 +58,8 @@
 	deadline time.Duration // of the final answer
 	streams  bool          // answers are passed on from their first byte on
 	answered bool          // or gone
+	timeLeft time.Duration // of the client, from the last byte on, while that has not come; zero: it has
+	spent    bool          // a part of it has been passed on and is gone: it can't be sent again
 	begun    int           // the attempt whose answer is on its way to the client, counted from one; zero: none
 	steps    []routeStep
 	open     int // steps whose end the module has not been told
@@ -63,7 +68,8 @@
 // routeStep is one attempt at an operation.
 type routeStep struct {
 	server string
-	out    bool // started and not ended
+	out    bool          // started and not ended
+	after  time.Duration // how long the module waits for it, from the operation's last byte on
 }
 
 // unsent is a route step that could not be started.
@@ -97,6 +103,9 @@
 	r.out = r.out[:0]
 	o := r.enter(op)
 	o.deadline = sent + op.TimeLeft - AnswerMargin
+	if op.Rest != nil { // its time counts from its last byte
+		o.timeLeft, o.deadline = op.TimeLeft, now+comesWithin
+	}
 	class, known := r.classes[op.Class]
 	o.streams = class.Stream
 	_, twice := r.ids[op.CorrelationID]
@@ -110,7 +119,7 @@
 	default:
 		r.ids[op.CorrelationID] = o.id
 		r.request = decide.Request{ID: o.id, Work: op.Work, Key: op.Key, Tenant: op.Tenant, Class: op.Class,
-			Budget: max(o.deadline-now, 0), Retry: op.Repeat}
+			Budget: max(min(o.deadline-now, op.TimeLeft), 0), Retry: op.Repeat}
 		r.step(now, &r.request)
 	}
 	return o.id, r.out
@@ -137,6 +146,24 @@
 	r.answer(o, Output{Result: as, Text: why})
 }
 
+// Whole takes in that the last byte of an operation has come, whose beginning came before: from now on its
+// time counts.
+func (r *Router) Whole(now time.Duration, id uint32) []Output {
+	r.out = r.out[:0]
+	o := r.operations[id]
+	if o == nil || o.timeLeft == 0 {
+		return r.out
+	}
+	o.deadline, o.timeLeft = now+o.timeLeft-AnswerMargin, 0
+	for attempt, s := range o.steps {
+		if s.out {
+			r.put(Output{Kind: RetimeStep, Operation: id, Attempt: attempt, Deadline: o.deadline,
+				At: min(o.deadline, now+s.after)})
+		}
+	}
+	return r.out
+}
+
 // StepBegan takes in that the answer to a route step has begun, as a good one, and is longer than what is
 // held whole; how it ended is told by StepEnded. The first one that may begin is the operation's final
 // answer, however it ends. Until then its time was the module's to say, from now on it lasts as long as the
@@ -163,6 +190,7 @@
 	r.out = r.out[:0]
 	if o := r.stepOut(id, attempt); o != nil {
 		o.steps[attempt].out = false
+		o.spent = o.spent || saw.Spent
 		r.end(now, o, attempt, saw.Outcome(), saw.Latency, saw.Evidence())
 	}
 	return r.out
@@ -173,9 +201,12 @@
 	r.done = decide.AttemptDone{ID: o.id, Attempt: attempt, Server: o.steps[attempt].server, Outcome: outcome,
 		Latency: latency, Evidence: known}
 	o.open--
-	if outcome == decide.Served && !o.answered {
+	switch {
+	case outcome == decide.Served && !o.answered:
 		r.answer(o, Output{Result: protocol.Served, Attempt: attempt})
-	} else {
+	case o.spent && outcome.NeverRan() && !o.answered && o.open == 0: // no other step is possible
+		r.answer(o, Output{Result: protocol.BusyReply, Text: busyText})
+	default:
 		r.forget(o)
 	}
 	r.done.Finished = o.answered
@@ -339,19 +370,26 @@
 	if o == nil {
 		return
 	}
-	until := o.deadline
+	until, after := o.deadline, time.Duration(0)
 	if act.After != 0 {
 		until = min(until, now+act.After)
 	}
+	if o.timeLeft > 0 {
+		until, after = o.deadline, o.timeLeft
+		if act.After != 0 {
+			after = min(after, act.After)
+		}
+	}
 	attempt := len(o.steps)
-	o.steps = append(o.steps, routeStep{server: act.Server})
+	o.steps = append(o.steps, routeStep{server: act.Server, after: after})
 	o.open++
 	server := r.servers[act.Server]
-	if server == nil || !server.open || o.answered || until <= now || attempt >= r.most {
+	if server == nil || !server.open || o.answered || o.spent || until <= now ||
+		attempt >= r.most {
 		r.unsent = append(r.unsent, unsent{o, attempt})
 		return
 	}
 	o.steps[attempt].out = true
 	r.put(Output{Kind: StartStep, Operation: o.id, Attempt: attempt, Server: act.Server, At: until,
-		Deadline: o.deadline, Begins: o.streams})
+		Deadline: o.deadline, Begins: o.streams, After: after})
 }
--- a/internal/core/router_test.go
+++ b/internal/core/router_test.go
@@ -11,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"dunestep/decide"
+	"dunestep/internal/flow"
+	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
 )
 
@@ -314,3 +316,43 @@
 		pool.Over(now+time.Millisecond, 1, lease.Addr, false)
 	}
 }
+
+// The time of an operation that is still coming counts from its last byte; one of which a part is gone is not sent
+// again, and refused at once where it never ran.
+func TestOperationThatIsComing(t *testing.T) {
+	d := newDay(deployment(), 2)
+	kinds := func(out []Output, kind OutputKind) (found []Output) {
+		for _, o := range out {
+			if o.Kind == kind {
+				found = append(found, o)
+			}
+		}
+		return found
+	}
+	arrive := func(id string) (uint32, Output) {
+		op := &protocol.Operation{CorrelationID: id, Class: fragile, Length: -1, TimeLeft: 900 * time.Millisecond,
+			Rest: flow.New(-1, memory.Grant{}, 0)}
+		n, out := d.router.Arrive(d.now, op, d.now)
+		starts := kinds(out, StartStep)
+		require.Len(t, starts, 1)
+		return n, starts[0]
+	}
+	n, start := arrive("a")
+	require.Equal(t, d.now+comesWithin, start.At)
+	require.Positive(t, start.After)
+	require.LessOrEqual(t, start.After, 900*time.Millisecond)
+	d.now += time.Minute
+	retimed := kinds(d.router.Whole(d.now, n), RetimeStep)
+	require.Len(t, retimed, 1)
+	require.Equal(t, []time.Duration{d.now + 900*time.Millisecond - AnswerMargin, d.now + min(start.After, 895*time.Millisecond)},
+		[]time.Duration{retimed[0].Deadline, retimed[0].At})
+	require.Empty(t, d.router.Whole(d.now, n), "once")
+	out := d.router.StepEnded(d.now, n, 0, Sighting{Phase: Answering, Ending: Completed, Reply: decide.Served})
+	require.Equal(t, protocol.Served, kinds(out, Answer)[0].Result)
+
+	n, _ = arrive("b")
+	out = d.router.StepEnded(d.now, n, 0, Sighting{Phase: Writing, Ending: BrokenOff, Spent: true})
+	require.Empty(t, kinds(out, StartStep))
+	require.Equal(t, protocol.BusyReply, kinds(out, Answer)[0].Result)
+	require.Empty(t, d.router.Whole(d.now, n), "it is forgotten")
+}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -45,22 +45,38 @@
 type Operation struct {
 	figures *Figures
 	counts  *[endings]atomic.Int64 // nil: of no class that is known
+	taken   atomic.Bool
 	ended   bool
 }
 
 // Begin counts an operation as taken.
 func (f *Figures) Begin(class string) *Operation {
-	f.active.Add(1)
+	o := f.Await(class)
+	o.Taken()
+	return o
+}
+
+// Await is for an operation that has not come whole: it is active from Taken on.
+func (f *Figures) Await(class string) *Operation {
 	return &Operation{figures: f, counts: f.classes[class]}
 }
 
+// Taken counts an operation as taken; it comes before End, or it does nothing.
+func (o *Operation) Taken() {
+	if !o.taken.Swap(true) {
+		o.figures.active.Add(1)
+	}
+}
+
 // End counts how the operation ended; a further End does nothing, nor does one of no operation.
 func (o *Operation) End(e Ending) {
 	if o == nil || o.ended {
 		return
 	}
 	o.ended = true
-	o.figures.active.Add(-1)
+	if o.taken.Swap(true) {
+		o.figures.active.Add(-1)
+	}
 	if o.counts != nil {
 		o.counts[e].Add(1)
 	}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -36,6 +36,7 @@
 	queue     [][]byte
 	first     [2][]byte // where the queue begins
 	taken     int       // of the first chunk
+	tookAny   bool
 	came      int64
 	firstCame time.Time
 	lastCame  time.Time
@@ -59,6 +60,7 @@
 	Coming   time.Duration // since the first byte, less HeldUp
 	Quiet    time.Duration // how long nothing has come since, though it could; of one that goes on
 	Whole    bool          // all of it has come
+	Taken    bool          // some of it has been taken, and is gone
 }
 
 // New makes the flow of a body of length bytes (below zero: not known) in the memory of a grant, which is the
@@ -190,6 +192,7 @@
 func (f *Flow) Took(n int) {
 	f.mu.Lock()
 	f.taken += n
+	f.tookAny = true
 	if f.taken == cap(f.queue[0]) {
 		f.drop(f.queue[0])
 		copy(f.queue, f.queue[1:])
@@ -322,7 +325,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := Progress{Length: f.length, Came: f.came, LastCame: f.lastCame, Before: f.before, HeldUp: f.heldUp,
-		Whole: f.end == io.EOF}
+		Whole: f.end == io.EOF, Taken: f.tookAny}
 	until := f.lastCame
 	if f.end == nil {
 		until = time.Now()
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -115,5 +115,12 @@
 	g.size = size
 }
 
+// Split takes size bytes out of the grant, as a grant of their own.
+func (g *Grant) Split(size int64) Grant {
+	size = min(size, g.size)
+	g.size -= size
+	return Grant{pool: g.pool, holder: g.holder, size: size}
+}
+
 // Release gives all bytes back.
 func (g *Grant) Release() { g.Shrink(0) }
--- a/internal/protocol/graphql.go
+++ b/internal/protocol/graphql.go
@@ -134,7 +134,7 @@
 		Accept: strings.Join(r.Header["Accept"], ", "),
 		Work:   work(r.Header.Get("X-Facts"))}
 	op.TimeLeft = g.leastTimeLeft(r)
-	if err := op.read(r, room); err != nil {
+	if err := op.read(r, room, MaxBody); err != nil {
 		return nil, err
 	}
 	request.Body = op.Body
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -15,8 +15,12 @@
 	"dunestep/internal/flow"
 )
 
-// MaxBody is the most bytes that the body of a request holds.
-const MaxBody = 64 << 10
+// MaxBody is up to how many bytes the body of a request is held whole; MaxUpload is how long it may be at the
+// most. What is beyond the first is passed on as it comes.
+const (
+	MaxBody   = 64 << 10
+	MaxUpload = 33 << 20
+)
 
 // Operation is a client's request, decoded. It names no protocol: what came in another form than HTTP would
 // be decoded into the same value and go through the same decisions.
@@ -33,7 +37,12 @@
 	// Passed on unchanged.
 	Method, Target, Host, ContentType string
 	Accept                            string // what the client takes; empty: not passed on
-	Body                              []byte
+	Body                              []byte // of a longer one the beginning
+	// Length is the whole body's where that is longer than Body; below zero: not told; zero: Body is all of it.
+	Length int64
+	// Rest is what follows Body, as it comes; nil: Body is all. Whole is closed when it has come to its end.
+	Rest  *flow.Flow
+	Whole <-chan struct{}
 
 	// GraphQL has a booking server's answer with a status of 4xx passed on, where it is one in GraphQL.
 	GraphQL bool
@@ -44,7 +53,7 @@
 
 // The ways in which an operation can be malformed.
 var (
-	ErrTooLong = errors.New("the body is longer than 64 KiB")
+	ErrTooLong = errors.New("the body is too long")
 	errID      = errors.New("X-Correlation-Id must be 16 hexadecimal digits")
 	errLeft    = errors.New("X-Time-Left-Ms must be a whole number of milliseconds")
 	errTarget  = errors.New("the target must be a path, whose first part is the class")
@@ -101,7 +110,7 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, errMethod
 	}
-	return op, op.read(r, room)
+	return op, op.read(r, room, MaxUpload)
 }
 
 func timeLeft(ms string) (time.Duration, error) {
@@ -112,32 +121,38 @@
 	return time.Duration(min(left, maxTimeLeftMS)) * time.Millisecond, nil
 }
 
-// read reads the body.
-func (op *Operation) read(r *http.Request, room Room) error {
+// read reads the body, or the beginning of one that is longer than what is held whole, where longest bytes
+// allow for that: the rest is the caller's to read, and one chunk of memory for it is asked for here.
+func (op *Operation) read(r *http.Request, room Room, longest int64) error {
 	op.Release = func() {}
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if r.ContentLength > MaxBody {
+	if r.ContentLength > longest {
 		return ErrTooLong
 	}
 	most := r.ContentLength
-	if most < 0 { // not told
-		most = MaxBody + 1
+	if most < 0 || most > MaxBody { // not told, or not held whole
+		most = MaxBody + flow.Chunk
 	}
 	keep, err := room(most, op.TimeLeft)
 	if err != nil {
 		return err
 	}
-	op.Body, err = readBody(r.Body, r.ContentLength)
-	if err == nil && r.Method == http.MethodGet && len(op.Body) > 0 {
+	op.Body, op.Length, err = readBody(r.Body, r.ContentLength)
+	switch {
+	case err == nil && r.Method == http.MethodGet && len(op.Body) > 0:
 		err = errMethod
+	case err == nil && op.Length != 0 && longest <= MaxBody:
+		err = ErrTooLong
 	}
 	if err != nil {
 		keep(0)
 		return err
 	}
-	keep(int64(len(op.Body)))
+	if op.Length == 0 {
+		keep(int64(len(op.Body)))
+	}
 	op.Release = func() { keep(0) }
 	return nil
 }
@@ -154,18 +169,30 @@
 	return 0
 }
 
-// readBody reads a body of length bytes; below zero: of at most MaxBody, until its end.
-func readBody(r io.Reader, length int64) ([]byte, error) {
+// readBody reads a body of length bytes (below zero: not told), up to MaxBody. Whole is the length of a longer
+// one, zero: all was read.
+func readBody(r io.Reader, length int64) (body []byte, whole int64, err error) {
 	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+		body = make([]byte, min(length, MaxBody))
+		_, err = io.ReadFull(r, body)
+		if length > MaxBody {
+			whole = length
+		}
+		return body, whole, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
-		err = ErrTooLong
+	body, err = io.ReadAll(io.LimitReader(r, MaxBody))
+	if err != nil || len(body) < MaxBody {
+		return body, 0, err
+	}
+	var more [1]byte
+	switch _, err := io.ReadFull(r, more[:]); err {
+	case nil:
+		return append(body, more[0]), -1, nil
+	case io.EOF:
+		return body, 0, nil
+	default:
+		return nil, 0, err
 	}
-	return body, err
 }
 
 // AnswerKind is how an operation ends.
--- a/internal/protocol/routestep.go
+++ b/internal/protocol/routestep.go
@@ -30,7 +30,12 @@
 	if op.Accept != "" {
 		field("Accept", op.Accept)
 	}
-	if op.Method != http.MethodGet {
+	switch {
+	case op.Length < 0:
+		field("Transfer-Encoding", "chunked")
+	case op.Length > 0:
+		field("Content-Length", strconv.FormatInt(op.Length, 10))
+	case op.Method != http.MethodGet:
 		field("Content-Length", strconv.Itoa(len(op.Body)))
 	}
 	return append(b, "\r\n"...)
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,20 +28,37 @@
 	server    string
 	streamed  bool // its answer is passed on from the first byte on
 	sent      time.Time
-	until     time.Time       // when it is given up, unless its answer has begun
-	deadline  time.Time       // of the operation's final answer
+	written   time.Time // its last byte; zero: not yet
+	times     atomic.Pointer[stepTimes]
+	after     time.Duration   // where the operation is still coming: how long it is waited for from its end on
 	ctx       context.Context // ends when the step is given up; the cause is a core.Ending
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer // gives it up; the module's actor's
 }
 
+// stepTimes are until when a route step lasts. They change when an operation has come whole.
+type stepTimes struct {
+	until    time.Time // when it is given up, unless its answer has begun
+	deadline time.Time // of the operation's final answer
+}
+
+// retime sets them anew.
+func (s *routeStep) retime(until, deadline time.Time) {
+	s.times.Store(&stepTimes{until, deadline})
+	if s.timer.Stop() { // else its time is up
+		s.timer.Reset(time.Until(until))
+	}
+}
+
 // newStep prepares a route step that the core has asked for.
 func newStep(o *operation, start core.Output, c clock) *routeStep {
 	s := &routeStep{operation: o, attempt: start.Attempt, server: start.Server, streamed: start.Begins,
-		sent: time.Now(), until: c.time(start.At), deadline: c.time(start.Deadline)}
+		sent: time.Now(), after: start.After}
+	until := c.time(start.At)
+	s.times.Store(&stepTimes{until, c.time(start.Deadline)})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s.ctx = ctx
-	s.timer = time.AfterFunc(s.until.Sub(s.sent), func() { cancel(core.OutOfTime) })
+	s.timer = time.AfterFunc(until.Sub(s.sent), func() { cancel(core.OutOfTime) })
 	s.cancel = func(why error) { s.timer.Stop(); cancel(why) }
 	return s
 }
@@ -179,10 +197,14 @@
 	conn := lease.Conn
 	var begun *flow.Flow
 	exchange := func() (protocol.Reply, bool, error) {
-		wait := time.Until(step.until) // after the dial
+		wait := step.after
+		if wait == 0 {
+			wait = time.Until(step.times.Load().until) // after the dial
+		}
 		op := step.operation.Operation
 		return conn.Exchange(step.ctx, transport.Step{Head: protocol.AppendRouteStep(nil, op, wait), Body: op.Body,
-			AtOnce: step.streamed, GraphQL: op.GraphQL, Written: b.set.figures.Tried,
+			Rest: op.Rest, Chunked: op.Length < 0,
+			AtOnce: step.streamed, GraphQL: op.GraphQL, Written: func() { step.written = time.Now(); b.set.figures.Tried() },
 			Begun: func(r protocol.Reply) {
 				begun = r.Flow
 				b.begin(step, r)
@@ -208,12 +230,14 @@
 			saw.Ours = errors.Is(err, transport.ErrNoDescriptor) || errors.Is(err, syscall.EMFILE)
 		}
 	}
+	saw.Spent = step.operation.Rest != nil && step.operation.Rest.Progress().Taken
+	saw.Ours = saw.Ours || saw.Phase == core.Writing && errors.Is(err, transport.ErrClient)
 	over := stepOver{addr: lease.Addr}
 	if reuse {
 		over.conn = conn
 	}
 	if saw.Ending = endingOf(err, step.ctx); saw.Ending == core.OutOfTime {
-		saw.Late = max(time.Since(step.until), 0)
+		saw.Late = max(time.Since(step.times.Load().until), 0)
 	}
 	if saw.Silent() && begun == nil {
 		over.sent = b.set.clock.now() - time.Since(step.sent)
@@ -243,7 +267,7 @@
 		if step.ctx.Err() != nil {
 			return
 		}
-		p, left, lag := r.Flow.Progress(), time.Until(step.deadline), b.set.bodies.Rules().Lag
+		p, left, lag := r.Flow.Progress(), time.Until(step.times.Load().deadline), b.set.bodies.Rules().Lag
 		if why := progress(p).MayGoOn(time.Since(step.sent), left, p.Quiet, lag); why != core.GoesOn {
 			step.cancel(why)
 			return
@@ -260,6 +284,14 @@
 		Whole: p.Whole}
 }
 
+// began is from when on the booking server's time counts.
+func (s *routeStep) began() time.Time {
+	if s.operation.Rest != nil && !s.written.IsZero() {
+		return s.written
+	}
+	return s.sent
+}
+
 // judge tells how a route step ended. For an answer that had begun it waits until nobody takes it any more.
 func (b *booking) judge(step *routeStep, saw core.Sighting, reply protocol.Reply, begun *flow.Flow,
 	err error) stepEnded {
@@ -276,7 +308,7 @@
 		p = reply.Flow.Progress()
 	}
 	saw.Ending, saw.Reply, saw.Body = endingOf(err, step.ctx), reply.Outcome, progress(p)
-	saw.Latency = serverTime(p, begun != nil, step.sent, time.Now())
+	saw.Latency = serverTime(p, begun != nil, step.began(), time.Now())
 	b.set.idleLimit.note(b.set.clock.now(), saw)
 	ended.saw = saw
 	return ended
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -67,6 +67,7 @@
 // protocol.Datagram.
 type (
 	clientGone struct{ operation *operation }
+	cameWhole  struct{ operation *operation }
 	abandon    struct{}
 	timerDue   struct{ tag uint64 }
 	reclaim    struct{}
@@ -112,12 +113,18 @@
 func (a *Agent) Operate(ctx context.Context, op *protocol.Operation) (protocol.Answer, bool) {
 	o := &operation{Operation: op, answer: make(chan protocol.Answer, 1)}
 	a.mail.put(o)
-	select {
-	case answer := <-o.answer:
-		return answer, true
-	case <-ctx.Done():
-		a.mail.put(clientGone{o})
-		return protocol.Answer{}, false
+	whole := op.Whole
+	for {
+		select {
+		case answer := <-o.answer:
+			return answer, true
+		case <-whole:
+			whole = nil
+			a.mail.put(cameWhole{o})
+		case <-ctx.Done():
+			a.mail.put(clientGone{o})
+			return protocol.Answer{}, false
+		}
 	}
 }
 
@@ -154,6 +161,8 @@
 	case clientGone:
 		a.do(a.router.ClientGone(now, m.operation.id))
 		m.operation.takeBack()
+	case cameWhole:
+		a.do(a.router.Whole(now, m.operation.id))
 	case timerDue:
 		a.do(a.router.TimerDue(now, m.tag))
 	case poolNews:
@@ -270,6 +279,8 @@
 		}
 		o.steps[out.Attempt] = s
 		a.servers[out.Server].mail.put(s)
+	case core.RetimeStep:
+		o.steps[out.Attempt].retime(a.clock.time(out.At), a.clock.time(out.Deadline))
 	case core.CancelStep:
 		o.steps[out.Attempt].cancel(out.Why)
 	case core.Forget:
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -205,7 +205,7 @@
 	server *Server
 }
 
-const maxRequest = 1 << 20
+const maxRequest = 64 << 20
 
 // Read reads from the connection, slowly where the server does so.
 func (c *Conn) Read(b []byte) (int, error) {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -167,37 +167,36 @@
 
 func (f *Front) operate(w http.ResponseWriter, r *http.Request, x protocol.Exchange, until time.Time) {
 	conn := r.Context().Value(connKey{}).(*frontConn)
+	body := &pacedBody{control: http.NewResponseController(w), until: until}
 	if r.ContentLength != 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody+1)
+		body.ReadCloser = http.MaxBytesReader(w, r.Body, protocol.MaxUpload)
+		r.Body = body
 	}
-	op, err := x.Decode(func(bytes int64, timeLeft time.Duration) (func(int64), error) {
-		if answered := conn.began().Add(timeLeft - core.AnswerMargin); answered.Before(until) {
-			until = answered
-		}
-		return f.room(r, bytes, until)
+	var grant memory.Grant
+	op, err := x.Decode(func(bytes int64, timeLeft time.Duration) (keep func(int64), err error) {
+		asked := time.Now()
+		grant, err = f.room(r, bytes, conn.began().Add(timeLeft-core.AnswerMargin))
+		body.heldUp(time.Since(asked))
+		return func(n int64) { grant.Shrink(n) }, err
 	})
 	class := ""
 	if op != nil {
 		class = op.Class
 	}
-	counted := f.figures.Begin(class)
+	counted := f.figures.Await(class)
 	defer counted.End(figures.Abandoned)
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.Is(err, protocol.ErrTooLong) || errors.As(err, &tooLong):
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.TooLong, Body: []byte(protocol.ErrTooLong.Error() + "\n")},
-			counted)
-		return
-	case errors.Is(err, memory.ErrFull):
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.BusyReply, Body: []byte("busy\n")}, counted)
+	if err != nil {
+		f.answer(w, r, x, unread(err), counted)
 		return
-	case err != nil:
-		f.answer(w, r, x, protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")}, counted)
+	}
+	if op.Length != 0 {
+		f.passOn(w, r, x, op, body, grant.Split(flow.Chunk), counted)
 		return
 	}
+	counted.Taken()
 	op.Sent = conn.taken()
 	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		_ = body.control.SetReadDeadline(time.Time{})
 	}
 	answer, owed := f.operator.Operate(r.Context(), op)
 	if !owed {
@@ -207,16 +206,59 @@
 	f.answer(w, r, x, answer, counted)
 }
 
+// unread is the answer to a request that could not be read.
+func unread(err error) protocol.Answer {
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.Is(err, protocol.ErrTooLong) || errors.As(err, &tooLong):
+		return protocol.Answer{Kind: protocol.TooLong, Body: []byte(protocol.ErrTooLong.Error() + "\n")}
+	case errors.Is(err, memory.ErrFull):
+		return protocol.Answer{Kind: protocol.BusyReply, Body: []byte("busy\n")}
+	}
+	return protocol.Answer{Kind: protocol.Malformed, Body: []byte(err.Error() + "\n")}
+}
+
+// passOn carries an operation out whose body is passed on as it comes.
+func (f *Front) passOn(w http.ResponseWriter, r *http.Request, x protocol.Exchange, op *protocol.Operation,
+	body *pacedBody, grant memory.Grant, counted *figures.Operation) {
+	conn := r.Context().Value(connKey{}).(*frontConn)
+	ctx, failed := context.WithCancel(r.Context())
+	defer failed()
+	op.Sent = time.Now()
+	up := startUpload(op, body, grant, conn, counted, failed)
+	answer, owed := f.operator.Operate(ctx, op)
+	whole, err := up.stop()
+	if whole {
+		_ = body.control.SetReadDeadline(time.Time{})
+	} // else the library must not wait for what is left
+	counted.Taken()
+	switch {
+	case !owed && !whole && sentWrong(err):
+		answer = unread(err)
+	case !owed:
+		panic(http.ErrAbortHandler)
+	}
+	if !whole { // what is left of it is not waited for
+		w.Header().Set("Connection", "close")
+	}
+	f.closeWith(conn, w.Header())
+	f.answer(w, r, x, answer, counted)
+}
+
+// sentWrong tells a body that did not come as it must from a client that has gone.
+func sentWrong(err error) bool {
+	return err != nil && !errors.Is(err, flow.ErrLeft) && !errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // room waits for memory for a request's body, until it is too late for the request.
-func (f *Front) room(r *http.Request, bytes int64, until time.Time) (keep func(int64), err error) {
+func (f *Front) room(r *http.Request, bytes int64, until time.Time) (memory.Grant, error) {
+	if bytes > protocol.MaxBody { // its time counts from its last byte, which is far
+		until = time.Now().Add(roomWait)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), until)
 	defer cancel()
 	client, _, _ := net.SplitHostPort(r.RemoteAddr)
-	grant, err := f.bodies.Memory.Take(ctx, memory.Holder{Name: client, Request: true}, bytes)
-	if err != nil {
-		return nil, err
-	}
-	return grant.Shrink, nil
+	return f.bodies.Memory.Take(ctx, memory.Holder{Name: client, Request: true}, bytes)
 }
 
 // answer writes an answer, and closes the connection where that can't be done to the end: what was written
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -52,6 +52,8 @@
 	mu      sync.Mutex
 	state   connState
 	since   time.Time // of the state
+	inBody  bool      // of connReading: the head has come
+	came    time.Time // the latest bytes
 	gentle  bool      // to be ended unless something has come
 	linger  bool      // an error was answered while the client may still be sending
 	framing framing
@@ -78,6 +80,7 @@
 	case connSilent, connIdle:
 		c.enter(connReading)
 	}
+	c.came = time.Now()
 	c.framing.follow(b[:n])
 	return n, err
 }
@@ -93,14 +96,16 @@
 // enter changes the state; mu is held.
 func (c *frontConn) enter(s connState) {
 	if c.state != connClosed {
-		c.state, c.since = s, time.Now()
+		c.state, c.since, c.inBody = s, time.Now(), false
 	}
 }
 
-// begin tells that a request's head was read, until when its last byte must come, and how its end is told.
+// begin tells that a request's head was read, until when its last byte must come where it comes no quicker than
+// it must, and how its end is told.
 func (c *frontConn) begin() (until time.Time, framed framed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inBody = true
 	until = c.since.Add(requestWait)
 	if first := c.opened.Add(requestWait); c.framing.heads <= 1 && first.Before(until) {
 		until = first
@@ -115,12 +120,12 @@
 	return c.since
 }
 
-// taken tells that a request came whole, and when it began to come: from then on at the latest, its client
-// counts its time.
+// taken tells that a request came whole, and when its last bytes came: from then on its client counts its
+// time.
 func (c *frontConn) taken() (began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	began = c.since
+	began = c.came
 	c.enter(connBusy)
 	c.linger = false
 	return began
@@ -242,7 +247,7 @@
 		rank = 0
 	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
 		rank = 1
-	case c.state == connReading && age >= stuckBefore:
+	case c.state == connReading && age >= stuckBefore && (!c.inBody || now.Sub(c.came) >= stuckBefore):
 		rank = 2
 	case c.state == connIdle && age >= silentBefore: // a request that crosses the close is sent again
 		rank = 3
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -8,10 +8,12 @@
 	"math"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"dunestep/decide"
 	"dunestep/internal/flow"
 	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
@@ -26,6 +28,9 @@
 // ErrNoDescriptor means that this agent may open no further connection: no fault of the booking server.
 var ErrNoDescriptor = errors.New("no descriptor is free for a further connection")
 
+// ErrClient means that the rest of a route step did not come from its client.
+var ErrClient = errors.New("the rest of the operation did not come")
+
 // maxReply bounds what is read for one answer beside the body of a 200.
 const maxReply = 80 << 10
 
@@ -53,6 +58,9 @@
 // Step is a route step to be carried out.
 type Step struct {
 	Head, Body []byte
+	// Rest is what follows Body as it comes; nil: nothing does. Chunked: its length is not told.
+	Rest    *flow.Flow
+	Chunked bool
 	// AtOnce has the answer passed on from its first byte on.
 	AtOnce bool
 	// GraphQL is the operation's.
@@ -127,13 +135,18 @@
 		return r, false, ErrUnused
 	}
 	stop := context.AfterFunc(ctx, u.Close)
-	bytes := net.Buffers{s.Head, s.Body}
-	if _, err := bytes.WriteTo(u.conn); err != nil {
+	early, err := u.write(&s)
+	if err != nil {
 		stop()
 		u.Close()
 		go u.throwAway()
 		return r, false, errors.Join(ErrUnwritten, err)
 	}
+	if early != nil {
+		stop()
+		u.Close()
+		return early.Reply, false, early.err
+	}
 	if s.Written != nil {
 		s.Written()
 	}
@@ -152,6 +165,92 @@
 	return got.Reply, true, nil
 }
 
+// write writes a route step. Early is an answer that came before the step was written whole: the rest of it is
+// not wanted.
+func (u *Upstream) write(s *Step) (early *reply, err error) {
+	if s.Rest == nil {
+		bytes := net.Buffers{s.Head, s.Body}
+		_, err = bytes.WriteTo(u.conn)
+		return nil, err
+	}
+	defer context.AfterFunc(s.ctx, func() { s.Rest.Cut(flow.ErrLeft) })()
+	wrote := make(chan error, 1)
+	go func() { wrote <- writeRest(u.conn, s) }()
+	select {
+	case err := <-wrote:
+		return nil, err
+	case got := <-u.replies:
+		return u.early(s, got, wrote)
+	}
+}
+
+// earlyWait is how long the end of the writing may take to be told, where the answer came first.
+const earlyWait = 20 * time.Millisecond
+
+// early takes an answer that came while a route step was being written.
+func (u *Upstream) early(s *Step, got reply, wrote <-chan error) (*reply, error) {
+	after := time.NewTimer(earlyWait)
+	defer after.Stop()
+	select {
+	case err := <-wrote:
+		if err == nil { // it was written whole, which was told late
+			u.replies <- got
+			return nil, nil
+		}
+	case <-after.C:
+		s.Rest.Cut(flow.ErrLeft)
+		u.Close()
+		<-wrote
+	}
+	if got.begun {
+		got.Flow.Close()
+		got = <-u.replies
+	}
+	if got.err == nil && got.Outcome == decide.TurnedAway { // the one thing that may come before the end
+		return &got, nil
+	}
+	if got.Flow != nil {
+		got.Flow.Close()
+	}
+	return &reply{err: errors.Join(ErrUnwritten, ErrSpoilt, got.err)}, nil
+}
+
+// writeRest writes a route step whose body is still coming.
+func writeRest(w io.Writer, s *Step) error {
+	write := func(b []byte) error {
+		parts := net.Buffers{b}
+		if s.Chunked {
+			parts = net.Buffers{strconv.AppendInt(nil, int64(len(b)), 16), crlf, b, crlf}
+		}
+		_, err := parts.WriteTo(w)
+		return err
+	}
+	if _, err := w.Write(s.Head); err != nil {
+		return err
+	}
+	if err := write(s.Body); err != nil {
+		return err
+	}
+	for {
+		b, err := s.Rest.Next()
+		switch {
+		case errors.Is(err, io.EOF) && s.Chunked:
+			_, err = w.Write(lastChunk)
+			return err
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return errors.Join(ErrClient, err)
+		}
+		if err := write(b); err != nil {
+			return err
+		}
+		s.Rest.Took(len(b))
+	}
+}
+
+var crlf, lastChunk = []byte("\r\n"), []byte("0\r\n\r\n")
+
 // throwAway takes what the reader still has of a route step that was not written whole. Guards against a
 // server that answers before it has read all: nobody would take that answer, which would hold its memory for
 // good.
