--- a/cmd/dunestep/keep.go
+++ b/cmd/dunestep/keep.go
@@ -36,8 +36,8 @@
 	return state.Owner{Deployment: deployment, Agent: s.Name}
 }
 
-// recall reads what is kept, or takes what was handed over, and has it kept from now on. Whatever is wrong with it is told, and the start
-// goes on without.
+// recall reads what is kept, or takes what was handed over, and has it kept from now on. Whatever is wrong
+// with it is told, and the start goes on without.
 func recall(told instructions, handed *state.File) *memory {
 	m := &memory{told: told, began: make(chan struct{})}
 	from, file := m.read()
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -59,7 +59,8 @@
 	if err := c.listen(p.front); err != nil {
 		return err
 	}
-	p.hand = &hand{agent: p.agent, front: p.front, counts: p.counts, file: p.file, set: got.hand, changed: p.changed}
+	p.hand = &hand{agent: p.agent, front: p.front, counts: p.counts, file: p.file, set: got.hand,
+		changed: p.changed}
 	if err := p.startOps(); err != nil {
 		return err
 	}
@@ -76,8 +77,8 @@
 	p.kept = recall(c, got.file)
 	set := routing.Settings{Deployment: c.Settings, Seed: c.Seed, Discovery: c.Discovery, Start: p.kept.start,
 		Proof:       state.Proof{Wanted: c.operator.State.ProveList, Deploy: seconds(c.operator.State.DeployS)},
-		Descriptors: p.descriptors, Bodies: p.bodies, Figures: p.counts, Bans: got.hand.Bans, Changed: p.kept.changed,
-		Storm: c.storm()}
+		Descriptors: p.descriptors, Bodies: p.bodies, Figures: p.counts, Bans: got.hand.Bans,
+		Changed: p.kept.changed, Storm: c.storm()}
 	if c.Settings.Limits.Peers && c.PeerListen.IsValid() {
 		if p.datagrams, err = p.listenDatagrams(got.datagrams); err != nil {
 			return err
--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -29,8 +29,8 @@
 	readyEvery = 5 * time.Millisecond
 )
 
-// upgrade is this process's part in an upgrade: as the one that takes over, as the one that is taken over from,
-// or neither.
+// upgrade is this process's part in an upgrade: as the one that takes over, as the one that is taken
+// over from, or neither.
 type upgrade struct {
 	meeting *handover.Meeting
 
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -76,7 +76,7 @@
 	calls   int                            // begun so far
 	present int                            // the watch, by its number; zero: none yet
 	former  int                            // the watch at the address before, until the present one has begun
-	undone  bool                           // the present watch said something out of order: the rest of it is passed over
+	undone  bool                           // the present watch was out of order: the rest of it is passed over
 	fetches map[int]bool                   // those that are out
 	entries map[string]protocol.PoolServer // by discovery's word, without the bans
 	seen    map[string]bool                // ids that were ever listed
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -1,6 +1,6 @@
 // Package handover is what processes of one agent leave each other in a folder that they share, $TMPDIR: the
-// booking servers that staff have taken out, and, while one process takes over from another, a socket on which
-// they meet.
+// booking servers that staff have taken out, and, while one process takes over from another, a socket on
+// which they meet.
 package handover
 
 import (
@@ -49,7 +49,8 @@
 		return errors.New("too many booking servers")
 	}
 	for _, b := range h.Bans {
-		if b.ID == "" || len(b.ID) > protocol.MaxServerID || !utf8.ValidString(b.ID) || b.Started < 0 || b.Lifted < 0 {
+		if b.ID == "" || len(b.ID) > protocol.MaxServerID || !utf8.ValidString(b.ID) || b.Started < 0 ||
+			b.Lifted < 0 {
 			return fmt.Errorf("no booking server is %q", b.ID)
 		}
 	}
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -169,8 +169,8 @@
 	return 0
 }
 
-// readBody reads a body of length bytes (below zero: not told), up to MaxBody. Whole is the length of a longer
-// one, zero: all was read.
+// readBody reads a body of length bytes (below zero: not told), up to MaxBody. Whole is the length of a
+// longer one, zero: all was read.
 func readBody(r io.Reader, length int64) (body []byte, whole int64, err error) {
 	if length >= 0 {
 		body = make([]byte, min(length, MaxBody))
--- a/internal/protocol/ops.go
+++ b/internal/protocol/ops.go
@@ -56,7 +56,8 @@
 		return call, http.StatusMethodNotAllowed
 	}
 	call.Kind = known.kind
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxServerID+3)) // a line's end beyond the longest id, and one more
+	// A line's end beyond the longest id, and one byte that shows that there is more.
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxServerID+3))
 	switch {
 	case err != nil:
 		return call, http.StatusBadRequest
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -204,7 +204,8 @@
 		op := step.operation.Operation
 		return conn.Exchange(step.ctx, transport.Step{Head: protocol.AppendRouteStep(nil, op, wait), Body: op.Body,
 			Rest: op.Rest, Chunked: op.Length < 0,
-			AtOnce: step.streamed, GraphQL: op.GraphQL, Written: func() { step.written = time.Now(); b.set.figures.Tried() },
+			AtOnce: step.streamed, GraphQL: op.GraphQL,
+			Written: func() { step.written = time.Now(); b.set.figures.Tried() },
 			Begun: func(r protocol.Reply) {
 				begun = r.Flow
 				b.begin(step, r)
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -98,7 +98,8 @@
 		figures: set.Figures}
 	a.kept = kept{session: state.NewSession(set.Start, balancer, gate, limit, set.Proof),
 		proves: set.Proof.Wanted, changed: set.Changed, clock: a.clock}
-	a.list = startList(set.Discovery, set.Start.List, set.Bans, a.clock, set.Figures, func(n poolNews) { a.mail.put(n) })
+	a.list = startList(set.Discovery, set.Start.List, set.Bans, a.clock, set.Figures,
+		func(n poolNews) { a.mail.put(n) })
 	if set.Datagrams != nil {
 		a.agents = startAgents(set.Datagrams)
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -49,8 +49,8 @@
 
 // NewFront returns a front that listens nowhere yet.
 func NewFront(d *Descriptors, bodies *Bodies, counts *figures.Figures, o Operator) *Front {
-	f := &Front{operator: o, bodies: bodies, figures: counts, clients: &clients{descriptors: d, conns: map[*frontConn]struct{}{},
-		empty: make(chan struct{}, 1)}}
+	f := &Front{operator: o, bodies: bodies, figures: counts, clients: &clients{descriptors: d,
+		conns: map[*frontConn]struct{}{}, empty: make(chan struct{}, 1)}}
 	f.server = &http.Server{
 		// Not a ServeMux: it would clean paths and redirect, and an operation's target goes on unchanged.
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -111,7 +111,8 @@
 	return nil
 }
 
-// Inherit has Listen use these sockets at their addresses, which another process of this agent listens at too.
+// Inherit has Listen use these sockets at their addresses, which another process of this agent listens at
+// too.
 func (f *Front) Inherit(sockets map[netip.AddrPort]*net.TCPListener) { f.inherited = sockets }
 
 // Sockets are those it listens at, by the addresses that Listen was told.
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// begin tells that a request's head was read, until when its last byte must come where it comes no quicker than
-// it must, and how its end is told.
+// begin tells that a request's head was read, until when its last byte must come where it comes no quicker
+// than it must, and how its end is told.
 func (c *frontConn) begin() (until time.Time, framed framed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/leaving.go
+++ b/internal/transport/leaving.go
@@ -134,8 +134,8 @@
 	return len(l.conns)
 }
 
-// endIdle has the connection's reader end it, unless something has come. Guards against a close that crosses a
-// request: what the machine has of one by now is served.
+// endIdle has the connection's reader end it, unless something has come. Guards against a close that crosses
+// a request: what the machine has of one by now is served.
 func (c *frontConn) endIdle(all bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/ops.go
+++ b/internal/transport/ops.go
@@ -154,7 +154,8 @@
 	l.mu.Lock()
 	var oldest *opsConn
 	for c := range l.open {
-		if oldest == nil || !c.called && oldest.called || c.called == oldest.called && c.since.Before(oldest.since) {
+		if oldest == nil || !c.called && oldest.called ||
+			c.called == oldest.called && c.since.Before(oldest.since) {
 			oldest = c
 		}
 	}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -165,8 +165,8 @@
 	return got.Reply, true, nil
 }
 
-// write writes a route step. Early is an answer that came before the step was written whole: the rest of it is
-// not wanted.
+// write writes a route step. Early is an answer that came before the step was written whole: the rest of it
+// is not wanted.
 func (u *Upstream) write(s *Step) (early *reply, err error) {
 	if s.Rest == nil {
 		bytes := net.Buffers{s.Head, s.Body}
--- a/storm/spell.go
+++ b/storm/spell.go
@@ -203,8 +203,8 @@
 }
 
 // able is what the servers that take requests can do, as a part of what is usual. Guards against a purge
-// where servers are missing: with many of them out or cold, work takes longer everywhere for want of room, and
-// to rest those that are left mends nothing.
+// where servers are missing: with many of them out or cold, work takes longer everywhere for want of room,
+// and to rest those that are left mends nothing.
 func (g *Gate) able() float64 {
 	can := 0.0
 	for _, s := range g.inOrder {
