A process that was to be taken over from takes its meeting place back; tests of upgrades

A new process that took the place and died left a dead socket there, so the next one started beside the old one without meeting it: found by the new test, which kills new processes at six moments. Three upgrades under load with bans before, between and after: 0 lost, 0 refused at the door, no booking twice.

--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -32,8 +32,6 @@
 // upgrade is this process's part in an upgrade: as the one that takes over, as the one that is taken
 // over from, or neither.
 type upgrade struct {
-	meeting *handover.Meeting
-
 	mu     sync.Mutex
 	share  share          // of the limits, while two processes run
 	old    *handover.Peer // this one takes over from it
@@ -155,7 +153,6 @@
 		slog.Warn("no process can take over from this one", "error", err)
 		return
 	}
-	p.up.meeting = meeting
 	go meeting.Serve(func(err error) { slog.Warn("not met", "error", err) }, p.hands)
 }
 
@@ -184,8 +181,9 @@
 	}
 }
 
-// hands hands over to a process that takes over from this one, and returns when it has gone.
-func (p *process) hands(heir *handover.Peer) {
+// hands hands over to a process that takes over from this one, and returns when it has gone, with whether this
+// one goes on.
+func (p *process) hands(heir *handover.Peer) (goesOn bool) {
 	sockets, names := p.handed()
 	limits := p.limits()
 	offer := handover.Offer{Handed: names, State: p.remembered(), MemoryMB: max(limits.MemoryMB/2, 1),
@@ -212,7 +210,12 @@
 	if p.datagrams != nil {
 		p.datagrams.Speak(true)
 	}
-	slog.Info("the new process has ended, this one goes on")
+	p.up.mu.Lock()
+	defer p.up.mu.Unlock()
+	if !p.up.ending {
+		slog.Info("the new process has ended, this one goes on")
+	}
+	return !p.up.ending
 }
 
 // yield lets the new process speak for the agent.
--- /dev/null
+++ b/cmd/dunestep/upgrade_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// upgrade starts the program a second time, with another ops address, and waits until it says yes.
+func (w *world) upgrade() *world {
+	next := w.another()
+	next.launch()
+	next.until("ready", func() bool {
+		resp, err := http.Get("http://" + next.ops + "/ops/readiness")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return next
+}
+
+// another is the same agent's next process, not started yet.
+func (w *world) another() *world {
+	next := &world{t: w.t, config: w.config, env: w.env, operator: w.operator, program: w.program, addr: w.addr,
+		folder: w.folder, log: &logBuffer{}, exited: make(chan struct{}), servers: w.servers, discovery: w.discovery}
+	next.ids.Store(w.ids.Load() + 1_000_000)
+	door(next)
+	return next
+}
+
+// load has clients ask all the time, on connections that they keep, and counts what they get. A request that
+// meets a close which it crossed is sent once more, as the protocol says.
+type load struct {
+	stop               chan struct{}
+	wait               sync.WaitGroup
+	ok, busy, lost, no atomic.Int64
+	other              atomic.Int64 // answers that say that it failed
+}
+
+func (w *world) load(clients int) *load {
+	l := &load{stop: make(chan struct{})}
+	for range clients {
+		l.wait.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer client.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-l.stop:
+					return
+				case <-time.After(2 * time.Millisecond):
+				}
+				l.ask(client, w.request([]string{"consult", "rezervare"}[n%2], 2000))
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) ask(client *http.Client, r *http.Request) {
+	resp, err := client.Do(r)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			l.no.Add(1)
+		} else {
+			l.lost.Add(1)
+		}
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil || resp.StatusCode == 200 && !strings.HasPrefix(string(body), r.Header.Get("X-Correlation-Id")):
+		l.lost.Add(1)
+	case resp.StatusCode == 200:
+		l.ok.Add(1)
+	case resp.StatusCode == 503, resp.StatusCode == 429:
+		l.busy.Add(1)
+	default:
+		l.other.Add(1)
+	}
+}
+
+func (l *load) end() { close(l.stop); l.wait.Wait() }
+
+// once tells that no booking ran twice.
+func (w *world) once() {
+	w.t.Helper()
+	ran := map[string]int{}
+	for _, s := range w.servers {
+		for _, step := range s.steps() {
+			if strings.HasPrefix(step.URL.Path, "/rezervare") {
+				ran[idOf(step)]++
+			}
+		}
+	}
+	for id, n := range ran {
+		require.Equal(w.t, 1, n, id)
+	}
+}
+
+// Upgrades under load, one after the other, with booking servers out by hand before, between and after: nothing is
+// lost, nothing turned back, no booking runs twice, bans hold, and the old process ends by itself.
+func TestUpgrades(t *testing.T) {
+	w := newWorldAlone(t, 3).start(door, (*world).patient)
+	l := w.load(8)
+	w.until("load", func() bool { return l.ok.Load() > 50 })
+	now, out := w, 0
+	ban := func(id int) {
+		now.yes("POST", "/ops/booking-servers/up", fmt.Sprint("s-", out))
+		out = id
+		now.yes("POST", "/ops/booking-servers/down", fmt.Sprint("s-", out))
+	}
+	ban(0)
+	for i := range 3 {
+		next := now.upgrade()
+		require.Contains(t, next.log.String(), "taking over from the process that runs")
+		ban((i + 1) % 3) // told to the old one while both run
+		require.Zero(t, now.quit(), now.log.String())
+		now = next
+		now.until("all of the limits", func() bool { return strings.Contains(now.log.String(), "all of the limits") })
+		before := len(w.servers[out].steps())
+		goal := l.ok.Load() + 100
+		w.until("it goes on", func() bool { return l.ok.Load() > goal })
+		require.Equal(t, before, len(w.servers[out].steps()), "a booking server that is out gets nothing")
+		require.Equal(t, 1, now.stats().Ejected)
+	}
+	l.end()
+	require.Equal(t, []int64{0, 0, 0}, []int64{l.lost.Load(), l.no.Load(), l.other.Load()}, "beside %d that were served", l.ok.Load())
+	w.once()
+	require.Zero(t, now.quit())
+}
+
+// A new process that dies before it takes clients, or at any time, leaves the old one as it was; an old one that is
+// killed leaves all to the new one.
+func TestUpgradeThatFails(t *testing.T) {
+	w := newWorldAlone(t, 2).start(door, (*world).patient)
+	for _, wait := range []time.Duration{0, 2, 5, 10, 20, 50} {
+		next := w.another()
+		next.launch()
+		time.Sleep(wait * time.Millisecond)
+		_ = next.process.Process.Kill()
+		await(t, next.exited)
+		for range 5 {
+			require.Equal(t, 200, w.ask("consult").status)
+		}
+	}
+	taken := w.another()
+	taken.ops = w.ops // an address that is in use ends its start
+	taken.launch()
+	await(t, taken.exited)
+	require.Equal(t, 1, taken.process.ProcessState.ExitCode())
+	w.yes("POST", "/ops/booking-servers/down", "s-1")
+	next := w.upgrade()
+	_ = w.process.Process.Kill()
+	await(t, w.exited)
+	next.until("all of the limits", func() bool { return strings.Contains(next.log.String(), "all of the limits") })
+	before := len(w.servers[1].steps())
+	for range 20 {
+		require.Equal(t, 200, next.ask("consult").status)
+	}
+	require.Equal(t, before, len(w.servers[1].steps()))
+	require.Zero(t, next.quit())
+	w.process = exec.Command("true") // it was killed: there is no exit code to look at
+	require.NoError(t, w.process.Run())
+}
+
+// A drain by hand holds over an upgrade, the new process says that it has taken over, and takes clients at the stop.
+func TestUpgradeWhileDrained(t *testing.T) {
+	w := start(t, 1, door)
+	w.yes("POST", "/ops/drain/start", "")
+	next := w.upgrade()
+	require.Equal(t, 503, next.health())
+	require.Zero(t, w.quit())
+	require.Equal(t, 503, next.health())
+	next.yes("POST", "/ops/drain/stop", "")
+	require.Equal(t, 200, next.health())
+	require.Zero(t, next.quit())
+}
+
+// What lies in the folder may be anything: the start is a fresh one then, with a line in the log.
+func TestStrangeThingsInTheFolder(t *testing.T) {
+	first := start(t, 1, door)
+	first.yes("POST", "/ops/booking-servers/down", "s-0")
+	files, err := filepath.Glob(filepath.Join(first.folder, "dunestep-*"))
+	require.NoError(t, err)
+	var file, socket string
+	for _, f := range files {
+		if strings.HasSuffix(f, ".json") {
+			file = f
+		} else {
+			socket = f
+		}
+	}
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.True(t, json.Valid(raw))
+	for name, spoil := range map[string]func(){
+		"torn":      func() { require.NoError(t, os.WriteFile(file, raw[:len(raw)/2], 0o600)) },
+		"foreign":   func() { require.NoError(t, os.WriteFile(file, []byte(`{"format":1,"agent":"n7"}`), 0o600)) },
+		"a folder":  func() { require.NoError(t, os.Mkdir(file, 0o700)) },
+		"of future": func() { require.NoError(t, os.WriteFile(file, []byte(`{"format":9,"agent":"n0"}`), 0o600)) },
+	} {
+		require.NoError(t, os.RemoveAll(file))
+		spoil()
+		l, err := net.Listen("unix", socket+".x")
+		require.NoError(t, err)
+		require.NoError(t, os.Rename(socket+".x", socket)) // one who says nothing sensible
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Write([]byte("\x00\x00\x00\x10{\"sockets\": -1}xxx"))
+			}
+		}()
+		next := first.upgrade()
+		require.Contains(t, next.log.String(), "not taken over", name)
+		require.Zero(t, next.quit(), name)
+		_ = l.Close()
+	}
+	_ = syscall.Unlink(socket)
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,151 @@
+package handover
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"dunestep/internal/core"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var at = netip.MustParseAddrPort("127.0.0.1:9000")
+
+// What is written is read; nothing is nothing.
+func TestBansFile(t *testing.T) {
+	b := NewBans(t.TempDir(), "n0", at)
+	h, err := b.Read()
+	require.NoError(t, err)
+	require.Empty(t, h)
+	want := Hand{Drained: true, Bans: []core.Ban{{ID: "s-0", Started: 5}, {ID: "s-1", Lifted: 7}}}
+	require.NoError(t, b.Write(want))
+	h, err = b.Read()
+	require.NoError(t, err)
+	require.Equal(t, want, h)
+	other := &Bans{path: b.path, agent: "n1"}
+	_, err = other.Read()
+	require.ErrorContains(t, err, `it is of agent "n0"`)
+}
+
+// Two processes meet: the offer comes with its sockets, which both listen at, and notes go both ways.
+func TestMeeting(t *testing.T) {
+	folder := t.TempDir()
+	_, _, _, err := Meet(folder, "n0", at)
+	require.ErrorIs(t, err, ErrAlone)
+	m, err := Await(folder, "n0", at)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	offer := Offer{Hand: Hand{Bans: []core.Ban{{ID: "s-0"}}}, Sockets: 9, MemoryMB: 8, State: []byte("learned"),
+		Handed: []string{"tcp x"}}
+	refused, heard, served := make(chan error, 1), make(chan Note, 1), make(chan struct{})
+	go func() {
+		defer close(served)
+		first := true
+		m.Serve(func(err error) { refused <- err }, func(p *Peer) bool {
+			if !first {
+				_ = p.Give(Offer{Sockets: 9, MemoryMB: 8}, nil)
+				return false
+			}
+			first = false
+			_ = p.Give(offer, []syscall.Conn{l.(*net.TCPListener)})
+			p.Listen(func(n Note) {
+				heard <- n
+				p.Tell(Note{Sockets: 7})
+			})
+			return true
+		})
+	}()
+	stranger, err := net.Dial("unix", place(folder, "n0", at, "sock"))
+	require.NoError(t, err)
+	_, _ = stranger.Write([]byte("\xff\xff\xff\xff"))
+	require.Error(t, <-refused)
+	_ = stranger.Close()
+	p, got, sockets, err := Meet(folder, "n0", at)
+	require.NoError(t, err)
+	require.Equal(t, offer, got)
+	inherited, err := net.FileListener(sockets["tcp x"])
+	require.NoError(t, err)
+	require.NoError(t, sockets["tcp x"].Close())
+	require.Equal(t, l.Addr().String(), inherited.Addr().String())
+	require.NoError(t, l.Close(), "the other one's end is not the socket's")
+	c, err := net.Dial("tcp", inherited.Addr().String())
+	require.NoError(t, err)
+	_ = c.Close()
+	_ = inherited.Close()
+	p.Tell(Note{Ready: true})
+	require.Equal(t, Note{Ready: true}, <-heard)
+	// The one that took over took the place too, and died: it is the first one's again.
+	dead := &Meeting{path: m.path, agent: "n0"}
+	require.NoError(t, dead.claim())
+	_ = dead.listener.Close()
+	p.Listen(func(n Note) {
+		require.Equal(t, Note{Sockets: 7}, n)
+		p.Close()
+	})
+	require.Eventually(t, func() bool {
+		p, _, sockets, err := Meet(folder, "n0", at)
+		if err == nil {
+			require.Empty(t, sockets)
+			p.Close()
+		}
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	<-served
+}
+
+// FuzzHand holds what is read of the file to its bounds.
+func FuzzHand(f *testing.F) {
+	f.Add([]byte(`{"format":1,"agent":"n0","bans":[{"id":"s-0","started_ns":5}],"drained":true}`))
+	f.Add([]byte(`{"format":1,"agent":"n0","bans":[{"id":""}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if h, err := decodeHand(raw, "n0"); err == nil {
+			require.NoError(t, h.check())
+		}
+	})
+}
+
+// FuzzFrame has a process read any frame: it gives an offer that can be used, or an error, in time.
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x1e{\"sockets\":9,\"memory_mb\":8}    "))
+	f.Add([]byte("\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+		require.NoError(t, err)
+		ends := make([]*net.UnixConn, 2)
+		for i, fd := range pair {
+			file := os.NewFile(uintptr(fd), "pair")
+			c, err := net.FileConn(file)
+			require.NoError(t, err)
+			_ = file.Close()
+			ends[i] = c.(*net.UnixConn)
+			defer c.Close()
+		}
+		_, _ = ends[0].Write(raw[:min(len(raw), 64<<10)])
+		_ = ends[0].CloseWrite()
+		_ = ends[1].SetDeadline(time.Now().Add(time.Second))
+		p := &Peer{conn: ends[1]}
+		if offer, sockets, err := p.ask("n0"); err == nil {
+			require.Positive(t, offer.Sockets)
+			require.Empty(t, sockets)
+		}
+	})
+}
+
+// A name that is too long for a socket is told, not cut.
+func TestLongFolder(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "a-folder-whose-name-is-far-too-long-for-the-name-of-a-socket-in-any-system-that-we-know-of")
+	_, err := Await(folder, "n0", at)
+	require.ErrorContains(t, err, "too long")
+	_, _, _, err = Meet(folder, "n0", at)
+	require.ErrorContains(t, err, "too long")
+}
--- a/internal/handover/meeting.go
+++ b/internal/handover/meeting.go
@@ -148,27 +148,37 @@
 
 // Await has this process be met at the agent's place from now on, in place of any that was there.
 func Await(folder, agent string, listen netip.AddrPort) (*Meeting, error) {
-	path := place(folder, agent, listen, "sock")
-	if len(path) > longestPath {
-		return nil, fmt.Errorf("the name is too long for a socket: %s", path)
+	m := &Meeting{path: place(folder, agent, listen, "sock"), agent: agent}
+	if len(m.path) > longestPath {
+		return nil, fmt.Errorf("the name is too long for a socket: %s", m.path)
 	}
-	own := fmt.Sprintf("%s.%d", path, os.Getpid())
+	return m, m.claim()
+}
+
+// claim takes the place.
+func (m *Meeting) claim() error {
+	own := fmt.Sprintf("%s.%d", m.path, os.Getpid())
 	_ = os.Remove(own)
 	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	l.SetUnlinkOnClose(false) // by then the place may be another process's
-	if err := errors.Join(os.Chmod(own, 0o600), os.Rename(own, path)); err != nil {
+	if err := errors.Join(os.Chmod(own, 0o600), os.Rename(own, m.path)); err != nil {
 		_ = l.Close()
-		return nil, err
+		return err
 	}
-	return &Meeting{listener: l, path: path, agent: agent}, nil
+	if m.listener != nil {
+		_ = m.listener.Close()
+	}
+	m.listener = l
+	return nil
 }
 
-// Serve meets new processes, one after the other: heir is called with each, and returns when it has gone. It
-// returns when the meeting is closed. A stranger, or one that says nothing, is sent away.
-func (m *Meeting) Serve(refused func(error), heir func(*Peer)) {
+// Serve meets new processes, one after the other: heir is called with each, and returns when it has gone, with
+// true where this process goes on: then the place, which that one may have taken, is this one's again. It
+// returns otherwise, or when no place is to be had. A stranger, or one that says nothing, is sent away.
+func (m *Meeting) Serve(refused func(error), heir func(*Peer) (goesOn bool)) {
 	for {
 		conn, err := m.listener.AcceptUnix()
 		if err != nil {
@@ -180,14 +190,19 @@
 			p.Close()
 			continue
 		}
-		heir(p)
+		goesOn := heir(p)
 		p.Close()
+		if !goesOn {
+			_ = m.listener.Close()
+			return
+		}
+		if err := m.claim(); err != nil {
+			refused(err)
+			return
+		}
 	}
 }
 
-// Close ends the meeting; nobody new is met.
-func (m *Meeting) Close() { _ = m.listener.Close() }
-
 func (p *Peer) greeted(agent string) error {
 	_ = p.conn.SetDeadline(time.Now().Add(meetWait))
 	var h hello
