--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -80,7 +80,8 @@
 func (s instructions) bodies() (limit int64, r transport.BodyRules) {
 	a := s.operator.Answers
 	return int64(a.MemoryShare * float64(s.Limits.MemoryMB<<20)), transport.BodyRules{Longest: a.LongestKB << 10,
-		Whole: a.WholeKB << 10, Stall: time.Duration(a.StallMS) * time.Millisecond,
+		Whole: a.WholeKB << 10,
+		Hold:  time.Duration(a.HoldMS) * time.Millisecond, Stall: time.Duration(a.StallMS) * time.Millisecond,
 		Lag: time.Duration(a.LagMS) * time.Millisecond}
 }
 
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -119,7 +119,7 @@
 const (
 	// restWait is how long after its operation's time an answer that has begun may stand still: what still comes
 	// is wanted, however late, and what has stopped would be waited for in vain.
-	restWait = time.Second
+	restWait = 3 * time.Second
 	// restMost is how long after it such an answer may last at all. Guards against one that trickles for ever.
 	restMost = 2 * time.Minute
 	// leastTaken is how many bytes a second a client must take of an answer that it holds up.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// Stopped tells whether the rest of the body is not wanted any more.
+func (f *Flow) Stopped() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopped() != nil
+}
+
 // Ready tells whether Next would not wait.
 func (f *Flow) Ready() bool {
 	f.mu.Lock()
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -20,6 +20,9 @@
 	LongestKB int64 `toml:"longest_kb" min:"64" max:"1048576"`
 	// WholeKB is up to how many KiB an answer is held until it has come whole; zero: 64.
 	WholeKB int64 `toml:"whole_kb" min:"0" max:"65536"`
+	// HoldMS is how many milliseconds after its first byte an answer is passed on at the latest that is not known
+	// to be as short as whole_kb.
+	HoldMS int64 `toml:"hold_ms" min:"0" max:"60000"`
 	// MemoryShare is the part of limits.memory_mb that all bodies together may occupy.
 	MemoryShare float64 `toml:"memory_share" min:"0.02" max:"0.5"`
 	// StallMS is after how many milliseconds a client that takes nothing of its answer is cut off.
@@ -73,7 +76,7 @@
 
 // Default is what holds without a file, and for every key that a file does not have.
 func Default() File {
-	return File{Answers: Answers{LongestKB: 65536, MemoryShare: 0.125, StallMS: 2000, LagMS: 500},
+	return File{Answers: Answers{LongestKB: 65536, HoldMS: 50, MemoryShare: 0.125, StallMS: 10000, LagMS: 5000},
 		Log: Log{Format: Text, Level: "info"}, GraphQL: defaultGraphQL(),
 		State: State{PeriodS: 10, WritesAMinute: 12, DeployS: 900},
 		Storm: Storm{On: true, SpellFactor: 1.65, PurgeShare: 0.5, PurgeMS: 3800, PurgeLeastMS: 2000,
--- a/internal/transport/bodies.go
+++ b/internal/transport/bodies.go
@@ -27,6 +27,7 @@
 type BodyRules struct {
 	Longest int64         // bytes of an answer: what is longer, or is said to be, is spoilt
 	Whole   int64         // an answer up to this long is held until it has come whole; zero: 64 KiB
+	Hold    time.Duration // and one not known to be as short at most so long after its first byte
 	Stall   time.Duration // a client that takes nothing of its answer for so long is cut off
 	Lag     time.Duration // how much longer than the server needs a client may hold up the server's connection
 }
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -348,7 +348,8 @@
 }
 
 // takeBody reads the body of an answer to its end, in memory that it waits for first. What comes in time is
-// held until the body is whole; when it is longer than what may be held so, the answer begins.
+// held until the body is whole; when it is longer than what may be held so, or takes longer and is not known
+// to be short, the answer begins.
 func (u *Upstream) takeBody(step *Step, r *protocol.Reply, body protocol.Incoming, rules BodyRules) error {
 	least, most := u.bodies.window(body.Length, rules)
 	asked := time.Now()
@@ -359,13 +360,16 @@
 	f := flow.New(body.Length, grant, most)
 	f.HeldUp(time.Since(asked))
 	r.Flow = f
-	begun := false
-	var since time.Time // its first byte came
+	b := beginning{begin: func() {
+		f.Begun()
+		u.replies <- reply{Reply: protocol.Reply{Outcome: r.Outcome, ContentType: r.ContentType, Status: r.Status,
+			Flow: f}, begun: true}
+	}}
+	short := body.Length >= 0 && body.Length <= rules.Whole
 	for came := int64(0); err == nil && came != body.Length; {
 		var room []byte
 		if room, err = f.Room(); err != nil { // only after it has begun
-			f.End(err)
-			return err
+			break
 		}
 		var n int
 		n, err = body.Read(room[:min(int64(len(room)), rules.Longest+1-came)])
@@ -374,21 +378,23 @@
 			break
 		}
 		f.Came(n)
-		if since.IsZero() {
-			since = time.Now()
-		}
 		switch {
-		case err != nil:
-		case !begun && came != body.Length && (step.AtOnce || goesOn(body.Length, came, time.Since(since), rules)):
-			begun = true
-			f.Begun()
-			u.replies <- reply{Reply: *r, begun: true}
+		case err != nil || came == body.Length:
+		case step.AtOnce || came > rules.Whole:
+			b.now()
+		case !short:
+			b.within(rules.Hold)
 		}
 	}
+	begun := b.end()
 	if err == nil || err == io.EOF {
 		f.End(io.EOF)
 		return nil
 	}
+	if f.Stopped() { // after it has begun, nobody wants the rest
+		f.End(err)
+		return err
+	}
 	f.End(u.reason(err))
 	if !begun {
 		f.Close()
@@ -396,13 +402,42 @@
 	return err
 }
 
-// wholeWait is how long an answer may be coming before its beginning is passed on, where it isn't known to be
-// short.
-const wholeWait = 100 * time.Millisecond
+// beginning is when an answer is passed on as it comes: once, and not after its end. Guards against the first
+// bytes of a long answer waiting for others where its server writes in small pieces: they are what its client
+// times.
+type beginning struct {
+	begin func()
+
+	mu    sync.Mutex
+	begun bool
+	ended bool
+	timer *time.Timer
+}
 
-// goesOn tells whether an answer is to be passed on as it comes. Guards against the first bytes of a long one
-// waiting for the others where its server writes in small pieces: they are what its client times.
-func goesOn(length, came int64, coming time.Duration, rules BodyRules) bool {
-	short := length >= 0 && length <= rules.Whole
-	return came > rules.Whole || !short && coming > wholeWait
+// now has the answer begin.
+func (b *beginning) now() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.begun && !b.ended {
+		b.begun = true
+		b.begin()
+	}
+}
+
+// within has it begin that long after its first bytes.
+func (b *beginning) within(hold time.Duration) {
+	if b.timer == nil {
+		b.timer = time.AfterFunc(hold, b.now)
+	}
+}
+
+// end tells whether the answer has begun; from now on it will not.
+func (b *beginning) end() (begun bool) {
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	return b.begun
 }
