Larger fleets ask an overbooked discovery less often, so that some call has its turn

herd, 25 of 36 agents killed in a release: not one of them had a call to discovery answered in 15 s, at 25 to 30 calls a second, so they went on with a list of which most had left: 60 in 100 refused at the end. Ruled out: discovery being down (with fewer calls it answers 3 to 5 a second), the start itself (ready after 0.1 s).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,8 @@
 
 	failGain    = 0.005
 	askLeast    = 200 * time.Millisecond // after a call to discovery failed,
-	askDoubled  = 3                      // and doubled so often, call after call
+	askDoubled  = 3                      // and doubled so often, call after call,
+	askFleet    = 6.0                    // in a fleet so large; in larger ones longer, or no call has its turn
 	deafFor     = 6 * time.Second
 	blameShare  = 0.02 // of the attempts: where more fail, it is no key's fault
 	poisonSpan  = 3    // distinct healthy servers that a key must fail on to be blamed itself
@@ -123,7 +124,8 @@
 		// The old list holds, soon wrong: the next call follows at once, later ones spare a service in trouble.
 		if !b.asking {
 			b.asking = true
-			b.timer(time.Duration(float64(askLeast<<min(b.deaf, askDoubled))*(0.5+b.rng.Float64())), 0, tagAsk)
+			wait := float64(askLeast<<min(b.deaf, askDoubled)) * max(float64(b.set.Balancers)/askFleet, 1)
+			b.timer(time.Duration(wait*(0.5+b.rng.Float64())), 0, tagAsk)
 		}
 		b.deaf, b.deafAt = b.deaf+1, b.now
 	}
