--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// hands hands over to a process that takes over from this one, and returns when it has gone, with whether this
-// one goes on.
+// hands hands over to a process that takes over from this one, and returns when it has gone, with whether
+// this one goes on.
 func (p *process) hands(heir *handover.Peer) (goesOn bool) {
 	sockets, names := p.handed()
 	limits := p.limits()
--- a/internal/handover/meeting.go
+++ b/internal/handover/meeting.go
@@ -175,9 +175,9 @@
 	return nil
 }
 
-// Serve meets new processes, one after the other: heir is called with each, and returns when it has gone, with
-// true where this process goes on: then the place, which that one may have taken, is this one's again. It
-// returns otherwise, or when no place is to be had. A stranger, or one that says nothing, is sent away.
+// Serve meets new processes, one after the other: heir is called with each, and returns when it has gone,
+// with true where this process goes on: then the place, which that one may have taken, is this one's again.
+// It returns otherwise, or when no place is to be had. A stranger, or one that says nothing, is sent away.
 func (m *Meeting) Serve(refused func(error), heir func(*Peer) (goesOn bool)) {
 	for {
 		conn, err := m.listener.AcceptUnix()
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -20,8 +20,8 @@
 	LongestKB int64 `toml:"longest_kb" min:"64" max:"1048576"`
 	// WholeKB is up to how many KiB an answer is held until it has come whole; zero: 64.
 	WholeKB int64 `toml:"whole_kb" min:"0" max:"65536"`
-	// HoldMS is how many milliseconds after its first byte an answer is passed on at the latest that is not known
-	// to be as short as whole_kb.
+	// HoldMS is how many milliseconds after its first byte an answer is passed on at the latest that is not
+	// known to be as short as whole_kb.
 	HoldMS int64 `toml:"hold_ms" min:"0" max:"60000"`
 	// MemoryShare is the part of limits.memory_mb that all bodies together may occupy.
 	MemoryShare float64 `toml:"memory_share" min:"0.02" max:"0.5"`
