--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -122,12 +122,8 @@
 		entries = append(entries, s.entry("active"))
 	}
 	w.discovery = newDiscovery(t)
-	// An address of its own, or another test could take the port, by TCP or by UDP, before the program does.
-	own := worlds.Add(1)
-	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, own>>8, own&255))
-	require.NoError(t, err)
-	w.addr = free.Addr().String()
-	require.NoError(t, free.Close())
+	w.addr = ownAddr(t)
+	var err error
 	w.peer, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = w.peer.Close() })
@@ -138,6 +134,16 @@
 	return w
 }
 
+// ownAddr is an address of a test's own, or another one could take the port, by TCP or by UDP, before the program
+// does.
+func ownAddr(t testing.TB) string {
+	own := worlds.Add(1)
+	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, own>>8, own&255))
+	require.NoError(t, err)
+	require.NoError(t, free.Close())
+	return free.Addr().String()
+}
+
 // configure writes the configuration and the operator file as they are now.
 func (w *world) configure() {
 	raw, err := json.Marshal(w.config)
--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -35,6 +35,7 @@
 	// a few MB here, and at the library's 100 a busy agent collected 20 times a second, each time in the way of
 	// the requests that were out. It costs some 20 MB, so it holds where there are ampleMB.
 	collectAt, ampleMB = 400, 96
+	usualCollectAt     = 100 // the library's
 )
 
 // commandLine is how the program is called.
@@ -114,7 +115,7 @@
 	}
 	logging.set(c.operator.Log)
 	slog.SetDefault(slog.New(logging))
-	p := &process{told: c, operatorFile: line.Operator, counts: figures.New(classNames(c.Settings.Classes))}
+	p := &process{told: c, counts: figures.New(classNames(c.Settings.Classes))}
 	if err := p.start(); err != nil {
 		return err
 	}
@@ -142,6 +143,8 @@
 	share := min(int64(memoryShare*float64(memory)), memory-outside)
 	if l.MemoryMB >= ampleMB {
 		debug.SetGCPercent(collectAt)
+	} else { // also where it was ample before an upgrade halved it
+		debug.SetGCPercent(usualCollectAt)
 	}
 	debug.SetMemoryLimit(max(share, int64(leastShare*float64(memory))))
 }
--- a/cmd/dunestep/ops_test.go
+++ b/cmd/dunestep/ops_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,13 +13,7 @@
 )
 
 // door gives the program an ops socket.
-func door(w *world) {
-	own := worlds.Add(1)
-	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, own>>8, own&255))
-	require.NoError(w.t, err)
-	w.ops = free.Addr().String()
-	require.NoError(w.t, free.Close())
-}
+func door(w *world) { w.ops = ownAddr(w.t) }
 
 // call makes a call at the ops socket; the answer is owed in a second.
 func (w *world) call(method, path, body string) (int, string) {
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -19,20 +19,19 @@
 
 // process is the running agent: its parts, and what they were told.
 type process struct {
-	told         instructions
-	operatorFile string
-	counts       *figures.Figures
-	descriptors  *transport.Descriptors
-	bodies       *transport.Bodies
-	kept         *memory
-	datagrams    *transport.Datagrams // nil: agents don't talk to one another
-	agent        *routing.Agent
-	front        *transport.Front
-	hand         *hand
-	ops          *transport.OpsSocket // nil: there is none
-	served       chan error
-	file         *handover.Bans
-	up           upgrade
+	told        instructions
+	counts      *figures.Figures
+	descriptors *transport.Descriptors
+	bodies      *transport.Bodies
+	kept        *memory
+	datagrams   *transport.Datagrams // nil: agents don't talk to one another
+	agent       *routing.Agent
+	front       *transport.Front
+	hand        *hand
+	ops         *transport.OpsSocket // nil: there is none
+	served      chan error
+	file        *handover.Bans
+	up          upgrade
 }
 
 func classNames(classes []decide.Class) (names []string) {
--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -103,13 +103,21 @@
 		case err != nil:
 		case network == "tcp":
 			var l net.Listener
-			if l, err = net.FileListener(f); err == nil && l.Addr().String() == text {
-				i.listeners[addr], _ = l.(*net.TCPListener)
+			if l, err = net.FileListener(f); err == nil {
+				if t, is := l.(*net.TCPListener); is && l.Addr().String() == text {
+					i.listeners[addr] = t
+				} else {
+					_ = l.Close()
+				}
 			}
 		case network == "udp":
 			var c net.PacketConn
-			if c, err = net.FilePacketConn(f); err == nil && c.LocalAddr().String() == text {
-				i.datagrams, _ = c.(*net.UDPConn)
+			if c, err = net.FilePacketConn(f); err == nil {
+				if u, is := c.(*net.UDPConn); is && i.datagrams == nil && c.LocalAddr().String() == text {
+					i.datagrams = u
+				} else {
+					_ = c.Close()
+				}
 			}
 		}
 		if err != nil {
--- a/storm/spell.go
+++ b/storm/spell.go
@@ -198,7 +198,8 @@
 		least = aloneLeast
 	}
 	known := g.firstAnswer > 0 && g.now >= g.firstAnswer+learnsFor
-	return known && weight >= least && factor >= g.fig.SpellFactor/g.able() && s.supports(g.now) &&
+	return known && weight >= least && factor >= g.fig.SpellFactor &&
+		factor >= g.fig.SpellFactor/g.able() && s.supports(g.now) &&
 		g.slowShare() >= everywhere && g.carried() < carriedMost
 }
 
