--- a/cmd/dunestep/ops_test.go
+++ b/cmd/dunestep/ops_test.go
@@ -97,12 +97,22 @@
 func TestDoorUnderPressure(t *testing.T) {
 	w := start(t, 1, door, func(w *world) { w.config["limits"].(object)["sockets"] = 96 })
 	w.servers[0].set(func(step) string { return silence })
+	w.until("watch", func() bool { return w.discovery.watched() == 1 })
+	own := w.descriptors()
 	for range 60 { // more than there are descriptors for
 		c, err := net.Dial("tcp", w.addr)
 		require.NoError(t, err)
 		defer c.Close()
 		_ = w.request("consult", 30000).Write(c)
 	}
+	full := own
+	w.until("clients have all that is theirs", func() bool {
+		before := full
+		time.Sleep(200 * time.Millisecond)
+		full = w.descriptors()
+		return full == before && full > own+30
+	})
+	require.LessOrEqual(t, full-own, 96-32-18, "the door's 18 are set aside, beside the program's 32")
 	first := w.rawTo(w.ops, "")
 	for i := range 100 {
 		w.rawTo(w.ops, []string{"", "GET /ops/stats HTTP/1.1\r\n", "POST /ops/booking-servers/down HTTP/1.1\r\n" +
--- a/cmd/dunestep/upgrade_test.go
+++ b/cmd/dunestep/upgrade_test.go
@@ -238,3 +238,28 @@
 	}
 	_ = syscall.Unlink(socket)
 }
+
+// A long body and a long answer that are on their way go on to their ends at the old process, while it ends.
+func TestUpgradeWithLongBodies(t *testing.T) {
+	const size = 400_000
+	w := newWorldAlone(t, 1).start(door, (*world).patient)
+	came, goOn := w.servers[0].pausing(size, size/2)
+	begun, _ := w.upload("Content-Length: 2")
+	_, _ = io.WriteString(begun, "ab")
+	await(t, came)
+	upload, id := w.upload(fmt.Sprint("Content-Length: ", size))
+	body := long(size, id)
+	_, _ = io.WriteString(upload, body[:size/2])
+	next := w.upgrade()
+	require.NoError(t, w.process.Process.Signal(syscall.SIGTERM))
+	w.until("it ends", func() bool { return strings.Contains(w.log.String(), "draining") })
+	close(goOn)
+	_, _ = io.WriteString(upload, body[size/2:])
+	for _, c := range []net.Conn{begun, upload} {
+		status, text := answered(t, c)
+		require.Equal(t, 200, status)
+		require.Len(t, text, size)
+	}
+	require.Zero(t, w.quit())
+	require.Zero(t, next.quit())
+}
