Upgrades: the meeting place is open before the yes, and its peer is read without a race

Two causes, both in the program. - TestIdleConnectionThatEnds counted descriptors before the meeting place was opened: it was opened after the front had said yes. A process started on that yes would have met nobody. With 10 ms put in before it the test failed every time, and in the same way; with 40 ms and 3 s it passed, since it was over by then. Ruled out: connections to booking servers that are not noticed as ended, and the test's own idle connections. - The goroutine that tells the process before that this one is ready read a field that the one that outlives it clears. Change: the place is opened before the front serves; both goroutines get the peer as they start. Measured: the upgrade tests and this one, four times each under the race detector, pass.

--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -86,21 +86,22 @@
 	ids       atomic.Uint64
 }
 
+// logBuffer is a program's log. Its buffer has a name: embedded, it would offer ways in past the lock.
 type logBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu    sync.Mutex
+	bytes bytes.Buffer
 }
 
 func (l *logBuffer) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Buffer.Write(b)
+	return l.bytes.Write(b)
 }
 
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Buffer.String()
+	return l.bytes.String()
 }
 
 var worlds atomic.Int32
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -63,9 +63,10 @@
 	if err := p.startOps(); err != nil {
 		return err
 	}
+	meeting := p.opened()
 	go func() { p.served <- p.front.Serve() }()
 	p.hand.serves()
-	p.await()
+	p.meets(meeting)
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(p.kept.start.List.Servers))
 	return nil
 }
--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -134,34 +134,46 @@
 	return name[:3], name[4:], true
 }
 
-// await has this process be met by one that takes over from it, and tells the one before that this one takes
-// clients, as soon as it does.
-func (p *process) await() {
-	go func() {
-		for !p.hand.Readiness() {
-			time.Sleep(readyEvery)
-		}
-		if p.up.old != nil {
-			p.up.old.Tell(handover.Note{Ready: true})
-		}
-	}()
-	if p.up.old != nil {
-		go func() {
-			p.up.old.Listen(p.noted)
-			p.up.mu.Lock()
-			p.up.old = nil
-			p.up.share = share{}
-			p.up.mu.Unlock()
-			p.limit()
-			slog.Info("the process before has ended, all of the limits are this one's")
-		}()
-	}
+// opened has this process be met by one that takes over from it. Guards against a yes to clients or staff while
+// the place is not there yet: a process that is started on that yes would meet nobody.
+func (p *process) opened() *handover.Meeting {
 	meeting, err := handover.Await(os.TempDir(), p.told.Name, p.told.Listen)
 	if err != nil {
 		slog.Warn("no process can take over from this one", "error", err)
-		return
+		return nil
+	}
+	return meeting
+}
+
+// meets hands over to processes that come to the meeting place; nil: none can come. The process before, where
+// there is one, is told that this one takes clients as soon as it does.
+func (p *process) meets(meeting *handover.Meeting) {
+	if old := p.up.old; old != nil { // nothing else looks at it before the next lines
+		go p.tellReady(old)
+		go p.outlive(old)
+	}
+	if meeting != nil {
+		go meeting.Serve(func(err error) { slog.Warn("not met", "error", err) }, p.hands)
 	}
-	go meeting.Serve(func(err error) { slog.Warn("not met", "error", err) }, p.hands)
+}
+
+// tellReady tells the process before that this one takes clients.
+func (p *process) tellReady(old *handover.Peer) {
+	for !p.hand.Readiness() {
+		time.Sleep(readyEvery)
+	}
+	old.Tell(handover.Note{Ready: true})
+}
+
+// outlive listens to the process before until that has ended, and takes all of the limits then.
+func (p *process) outlive(old *handover.Peer) {
+	old.Listen(p.noted)
+	p.up.mu.Lock()
+	p.up.old = nil
+	p.up.share = share{}
+	p.up.mu.Unlock()
+	p.limit()
+	slog.Info("the process before has ended, all of the limits are this one's")
 }
 
 // noted takes a note from the other process in.
