--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -134,8 +134,8 @@
 	return name[:3], name[4:], true
 }
 
-// opened has this process be met by one that takes over from it. Guards against a yes to clients or staff while
-// the place is not there yet: a process that is started on that yes would meet nobody.
+// opened has this process be met by one that takes over from it. Guards against a yes to clients or staff
+// while the place is not there yet: a process that is started on that yes would meet nobody.
 func (p *process) opened() *handover.Meeting {
 	meeting, err := handover.Await(os.TempDir(), p.told.Name, p.told.Listen)
 	if err != nil {
