Module and storm gate: an answer that has begun is not waited for

Change: an answer's beginning takes its route step off what is in flight, in the module and in the storm gate's crowd, unless its class streams.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,7 +82,7 @@
 		b.onDone(e)
 	case *StreamStarted:
 		if r := b.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
-			r.stream, r.attempts[e.Attempt].server.silentSince = true, b.now
+			b.begun(r, &r.attempts[e.Attempt])
 		}
 	case *ClientGone:
 		if r := b.requests[e.ID]; r != nil {
@@ -541,8 +541,7 @@
 	if s.inFlight == 0 {
 		s.silentSince = b.now
 	}
-	s.inFlight++
-	b.countInFlight(1)
+	b.waits(&r.attempts[len(r.attempts)-1], 1)
 	b.sentRound += r.units
 	s.coldTokens -= r.units
 	b.act(Action{Kind: Send, ID: r.id, Server: s.ID, After: limit})
@@ -559,8 +558,7 @@
 	if a.copy {
 		r.copies--
 	}
-	a.server.inFlight--
-	b.countInFlight(-1)
+	b.waits(a, -1)
 	b.hear(r, a, e)
 	if e.Finished || r.closed {
 		b.close(r)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1380,3 +1380,33 @@
 	require.LessOrEqual(t, run(3*time.Second, 300), 20, "and are back: 297")
 	require.Greater(t, run(4*time.Second, 900), 1500, "more than the share is still found")
 }
+
+// Guards against a client that takes a long answer slowly and makes its server look crowded and silent: of an
+// answer that has begun, the work is done.
+func TestAnswersThatHaveBegunAreNotWaitedFor(t *testing.T) {
+	b := start(t, settings(), list(1))
+	s := b.servers["s0"]
+	for id := range uint32(60) { // answers take 40 ms
+		now := time.Duration(id) * 50 * ms
+		b.Step(now, &Request{ID: id, Class: "safe", Budget: time.Second})
+		b.Step(now+40*ms, &AttemptDone{ID: id, Server: "s0", Outcome: Served, Latency: 40 * ms, Finished: true})
+	}
+	const slow = 8
+	for id := uint32(100); id < 100+slow; id++ {
+		b.Step(3*time.Second, &Request{ID: id, Class: "safe", Budget: 30 * time.Second})
+		require.NotEmpty(t, b.requests[id].attempts, "sent")
+		b.Step(3*time.Second, &StreamStarted{ID: id})
+		b.Step(3*time.Second, &StreamStarted{ID: id}) // once
+	}
+	require.Zero(t, s.inFlight)
+	require.Zero(t, b.inFlight)
+	b.Step(5*time.Second, &TimerDue{Tag: tagRound})
+	require.Less(t, b.expected(s), 0.05, "it is quick and idle, as it was before")
+	for id := uint32(100); id < 100+slow; id++ {
+		b.Step(6*time.Second, &AttemptDone{ID: id, Server: "s0", Outcome: []Outcome{Served, ConnectionLost, CalledOff}[id%3],
+			Latency: 40 * ms, Finished: true})
+	}
+	require.Zero(t, s.inFlight, "and none is taken off twice")
+	require.Zero(t, b.inFlight)
+	require.Empty(t, b.requests)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -170,6 +170,25 @@
 	return s.penalty * math.Exp2(-float64(now-s.penaltyAt)/float64(penaltyHalf))
 }
 
+// waits counts an attempt that waits for its answer, or does no more.
+func (b *Balancer) waits(a *attempt, change int) {
+	if !a.begun {
+		a.server.inFlight += change
+		b.countInFlight(change)
+	}
+}
+
+// begun takes in that an attempt's answer has begun. Guards against a client that takes a long answer slowly and
+// makes its server look crowded and silent all that time: the work is done, and nobody waits for it. Where a
+// class streams, its server works on until the end.
+func (b *Balancer) begun(r *request, a *attempt) {
+	r.stream, a.server.silentSince = true, b.now
+	if !a.done && !r.class.Stream {
+		b.waits(a, -1)
+		a.begun = true
+	}
+}
+
 // countInFlight changes the count of requests in flight, and adds up the time in flight until now.
 func (b *Balancer) countInFlight(change int) {
 	b.area += float64(b.inFlight) * seconds(b.now-b.areaAt)
@@ -369,6 +388,7 @@
 	despite  time.Duration // sent in spite of a probe that failed in this time
 	load     int32
 	done     bool
+	begun    bool // its answer
 	neverRan bool
 	copy     bool
 }
--- a/storm/gate.go
+++ b/storm/gate.go
@@ -77,6 +77,7 @@
 	sends    int // by the module; some were held back
 	open     int
 	answered bool
+	streams  bool // its class: servers work until the end of the answer
 }
 
 type attempt struct {
@@ -84,6 +85,7 @@
 	server *server
 	crowd  float64 // in flight at its start
 	done   bool
+	begun  bool // its answer
 }
 
 // server is a booking server and how its answers compare with the usual.
@@ -175,6 +177,7 @@
 		ev = g.ended(e)
 	case *decide.StreamStarted:
 		if r := g.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
+			g.begun(r, &r.attempts[e.Attempt])
 			g.stream = decide.StreamStarted{ID: e.ID, Attempt: r.attempts[e.Attempt].number}
 			ev = &g.stream
 		}
@@ -250,7 +253,9 @@
 	if n := len(g.spare); n > 0 {
 		r, g.spare = g.spare[n-1], g.spare[:n-1]
 	}
-	*r = request{who: who, tenant: e.Tenant, over: over, attempts: r.attempts[:0]}
+	class, known := g.order.classes[e.Class]
+	*r = request{who: who, tenant: e.Tenant, over: over, attempts: r.attempts[:0],
+		streams: known && g.set.Classes[class].Stream}
 	g.requests[e.ID] = r
 }
 
@@ -401,8 +406,7 @@
 	a := &r.attempts[e.Attempt]
 	a.done = true
 	r.open--
-	a.server.out--
-	g.crowd.change(g.now, -1)
+	g.noLonger(a)
 	if e.Outcome == decide.Served {
 		g.served.add(g.now, 1)
 		g.usual.add(g.now, 1)
@@ -422,6 +426,23 @@
 	return &g.end
 }
 
+// begun takes in that an answer has begun: where its class does not stream, its server's work is done, however
+// slowly the client takes it.
+func (g *Gate) begun(r *request, a *attempt) {
+	if !a.done && !r.streams {
+		g.noLonger(a)
+		a.begun = true
+	}
+}
+
+// noLonger takes an attempt off the crowd, once.
+func (g *Gate) noLonger(a *attempt) {
+	if !a.begun {
+		a.server.out--
+		g.crowd.change(g.now, -1)
+	}
+}
+
 // cold tells whether a server is slow because it just started.
 func (g *Gate) cold(s *server) bool {
 	return s.entry.Started > s.renewed && g.now-s.entry.Started < g.set.Rules.ColdFor
--- a/storm/gate_test.go
+++ b/storm/gate_test.go
@@ -135,6 +135,10 @@
 					for id := ids - min(ids-1, 30); id <= ids; id++ {
 						r := p.open[id]
 						for n := range r.out {
+							if r.out[n] != "" && !r.final && rapid.IntRange(0, 9).Draw(t, "begins") == 0 {
+								r.final, r.ran = true, true // it is the answer, however it ends
+								p.step(&decide.StreamStarted{ID: id, Attempt: n})
+							}
 							if r.out[n] == "" || rapid.IntRange(0, 2).Draw(t, "ends") > 0 {
 								continue
 							}
@@ -176,6 +180,11 @@
 		if p.gate.crowd.count != 0 {
 			t.Fatalf("%d attempts are counted that have ended", p.gate.crowd.count)
 		}
+		for _, s := range p.gate.inOrder {
+			if s.out != 0 {
+				t.Fatalf("%d attempts are counted at %s that have ended", s.out, s.entry.ID)
+			}
+		}
 	})
 }
 
