Upgrades: what two processes are told by hand at the same moment is joined, not swapped

Cause: each process told the other its whole set, which that one took in place of its own; so two calls within milliseconds swapped the sets, and each process used again the booking server whose ban it had said yes to. Change: a ban has the time when it was set or lifted, sets are joined by what was said last, the file is read, joined and replaced under a lock, and notes told before the offer come after it (they would have been taken for it). Ruled out as enough: the lock alone (memory would still differ), joining in memory alone (the file of the later one lacks the other's ban if both end).

--- a/cmd/dunestep/hand.go
+++ b/cmd/dunestep/hand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 	if err != nil || !listed {
 		return listed, err
 	}
-	h.set.Bans = bans
+	h.set.Bans = core.MergeBans(h.set.Bans, bans)
 	slog.Info(what, "server", id)
 	return true, h.keep()
 }
@@ -89,7 +90,7 @@
 func (h *hand) Drain(on bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.set.Drained, h.heir = on, false
+	h.set.Drained, h.set.DrainSet, h.heir = on, unixNow(), false
 	h.drain()
 	if err := h.keep(); err != nil {
 		slog.Warn("set by hand, but not kept for the next process", "error", err)
@@ -106,28 +107,40 @@
 	}
 }
 
-// keep writes what is set to the file; mu is held.
+// keep writes what is set to the file, takes in what the file has of another process, and tells that one; mu is
+// held.
 func (h *hand) keep() error {
-	err := h.file.Write(h.set)
+	merged, err := h.file.Update(h.set, unixNow())
+	h.join(merged)
 	if err == nil {
 		h.changed(h.set)
 	}
 	return err
 }
 
-// adopt has hold what was set at another process of this agent.
+// adopt takes in what was set at another process of this agent.
 func (h *hand) adopt(set handover.Hand) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.join(handover.Merge(h.set, set, unixNow()))
+}
+
+// join has hold what two processes together were told; mu is held.
+func (h *hand) join(set handover.Hand) {
 	drained := h.set.Drained
+	if !slices.Equal(h.set.Bans, set.Bans) {
+		h.agent.JoinBans(set.Bans)
+	}
 	h.set = set
-	h.agent.SetBans(set.Bans)
 	if set.Drained != drained {
 		h.heir = false
 		h.drain()
 	}
 }
 
+// unixNow is the time as what was set by hand has it.
+func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // now is what is set.
 func (h *hand) now() handover.Hand {
 	h.mu.Lock()
--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"dunestep/internal/core"
 	"dunestep/internal/handover"
 	"dunestep/internal/protocol"
 	"dunestep/internal/state"
@@ -71,7 +72,7 @@
 	if err != nil {
 		slog.Warn("what was set by hand is not taken over", "error", err)
 	}
-	got.hand.Bans = kept.Bans
+	got.hand.Bans = kept.Bans // a drain by hand ends with the last process
 	old, offer, sockets, err := handover.Meet(os.TempDir(), p.told.Name, p.told.Listen)
 	if errors.Is(err, handover.ErrAlone) {
 		return got
@@ -83,6 +84,7 @@
 	p.up.old = old
 	p.up.share = share{offer.Sockets, offer.MemoryMB}
 	got.hand = offer.Hand
+	got.hand.Bans = core.MergeBans(offer.Hand.Bans, kept.Bans)
 	if got.file, err = state.Decode(offer.State); err != nil || got.file.Owner != p.told.owner() {
 		slog.Warn("state not taken over", "error", err)
 		got.file = nil
--- a/cmd/dunestep/upgrade_test.go
+++ b/cmd/dunestep/upgrade_test.go
@@ -181,6 +181,31 @@
 	require.NoError(t, w.process.Run())
 }
 
+// Staff tell both processes of an upgrade at the same moment: both hold what either was told, and so does the next.
+func TestCallsAtBothProcesses(t *testing.T) {
+	now := start(t, 4, door)
+	for round := range 4 {
+		next := now.upgrade()
+		var calls sync.WaitGroup
+		for i, p := range []*world{now, next} {
+			calls.Go(func() { p.yes("POST", "/ops/booking-servers/down", fmt.Sprint("s-", (round+i)%4)) })
+		}
+		calls.Wait()
+		for _, p := range []*world{now, next} {
+			p.until("both are out", func() bool { return p.stats().Ejected == 2 })
+		}
+		require.Zero(t, now.quit())
+		now = next.upgrade()
+		require.Equal(t, 2, now.stats().Ejected, "over the next upgrade")
+		require.Zero(t, next.quit())
+		for i := range 2 {
+			now.yes("POST", "/ops/booking-servers/up", fmt.Sprint("s-", (round+i)%4))
+		}
+		require.Zero(t, now.stats().Ejected)
+	}
+	require.Zero(t, now.quit())
+}
+
 // A drain by hand holds over an upgrade, the new process says that it has taken over, and takes clients at the stop.
 func TestUpgradeWhileDrained(t *testing.T) {
 	w := start(t, 1, door)
@@ -202,9 +227,10 @@
 	require.NoError(t, err)
 	var file, socket string
 	for _, f := range files {
-		if strings.HasSuffix(f, ".json") {
+		switch filepath.Ext(f) {
+		case ".json":
 			file = f
-		} else {
+		case ".sock":
 			socket = f
 		}
 	}
--- a/internal/core/bans_test.go
+++ b/internal/core/bans_test.go
@@ -63,7 +63,7 @@
 			},
 			"ban": func(t *rapid.T) {
 				id := ids.Draw(t, "id")
-				out, listed, err := l.Ban(id)
+				out, listed, err := l.Ban(id, now)
 				hear(out)
 				require.NoError(t, err)
 				require.Equal(t, ever[id], listed)
@@ -82,7 +82,7 @@
 				}
 				delete(bans, id)
 			},
-			"other process": func(t *rapid.T) { hear(l.SetBans(l.Bans())) },
+			"other process": func(t *rapid.T) { hear(l.JoinBans(l.Bans())) },
 			"upgrade": func(*rapid.T) {
 				list := protocol.PoolConfig{Version: version, Full: true}
 				for _, id := range sorted(said) {
@@ -117,7 +117,7 @@
 		l.see(fmt.Sprint(i))
 	}
 	ban := func(i int) error {
-		_, listed, err := l.Ban(fmt.Sprint(i))
+		_, listed, err := l.Ban(fmt.Sprint(i), time.Hour)
 		require.True(t, listed)
 		return err
 	}
@@ -133,3 +133,53 @@
 	require.Len(t, l.seen, mostSeen)
 	require.Len(t, l.order, mostSeen)
 }
+
+// Two processes of one agent are told different things by hand, hear of one another late and in any order, and one
+// starts anew from what the other knows: in the end both hold what was said last of each booking server.
+func TestBansOfTwoProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := 100 * time.Hour
+		ids := []string{"a", "b", "c"}
+		var known protocol.PoolConfig
+		for _, id := range ids {
+			known.Servers = append(known.Servers, protocol.PoolServer{Server: decide.Server{ID: id, State: decide.Ready}})
+		}
+		lists := []*List{NewList(here, known, nil), NewList(here, known, nil)}
+		var notes [][]Ban // on their way
+		last := map[string]bool{}
+		which := rapid.IntRange(0, 1)
+		t.Repeat(map[string]func(*rapid.T){
+			"told": func(t *rapid.T) {
+				now += time.Millisecond
+				l, id := lists[which.Draw(t, "process")], rapid.SampledFrom(ids).Draw(t, "id")
+				if ban := rapid.Bool().Draw(t, "ban"); ban && !l.banned(id) {
+					_, _, err := l.Ban(id, now)
+					require.NoError(t, err)
+					last[id] = true
+				} else if !ban && l.banned(id) {
+					l.Lift(id, now)
+					last[id] = false
+				}
+				notes = append(notes, l.Bans())
+			},
+			"heard": func(t *rapid.T) {
+				if n := len(notes); n > 0 {
+					lists[which.Draw(t, "process")].JoinBans(notes[rapid.IntRange(0, n-1).Draw(t, "note")])
+				}
+			},
+			"starts anew": func(t *rapid.T) {
+				from := which.Draw(t, "process")
+				lists[1-from] = NewList(here, known, MergeBans(lists[1-from].Bans(), lists[from].Bans()))
+			},
+			"": func(t *rapid.T) {
+				one, other := NewList(here, known, lists[0].Bans()), NewList(here, known, lists[1].Bans())
+				one.JoinBans(lists[1].Bans())
+				other.JoinBans(lists[0].Bans())
+				require.Equal(t, one.Bans(), other.Bans())
+				for _, id := range ids {
+					require.Equal(t, last[id], one.banned(id), id)
+				}
+			},
+		})
+	})
+}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -51,11 +51,36 @@
 	ID string `json:"id"`
 	// Started is when it had started by the list of then, in Unix time; zero: long ago, or it was not listed.
 	Started time.Duration `json:"started_ns"`
+	// Set is when staff took it out, in Unix time.
+	Set time.Duration `json:"set_ns,omitempty"`
 	// Lifted is when it was put back, in Unix time; zero: it is out. It stands for the start until discovery
 	// tells of another one than Started.
 	Lifted time.Duration `json:"lifted_ns,omitempty"`
 }
 
+// said is when staff last said something of it.
+func (b Ban) said() time.Duration { return max(b.Set, b.Lifted) }
+
+// MergeBans is what holds where two processes of one agent were told different things: of each booking server
+// what was said last, and that it is out where both were said at once. By id; at most as many as a List holds,
+// those that are out before the others.
+func MergeBans(one, other []Ban) []Ban {
+	latest := map[string]Ban{}
+	for _, b := range slices.Concat(one, other) {
+		if known, is := latest[b.ID]; !is || b.said() > known.said() || b.said() == known.said() && b.Lifted == 0 {
+			latest[b.ID] = b
+		}
+	}
+	if len(latest) > mostBans {
+		maps.DeleteFunc(latest, func(_ string, b Ban) bool { return b.Lifted > 0 })
+	}
+	bans := make([]Ban, 0, len(latest))
+	for _, id := range sorted(latest) {
+		bans = append(bans, latest[id])
+	}
+	return bans[:min(len(bans), mostBans)]
+}
+
 const (
 	// mostBans is how many booking servers can be out by hand at once, those that have left the list included.
 	mostBans = 1024
@@ -101,8 +126,8 @@
 func (l *List) Known(known protocol.PoolConfig) protocol.PoolConfig { return l.overlay(known) }
 
 // Ban takes a booking server out until Lift, whatever discovery says of it; listed is false where no list
-// ever had it. One that is out stays so.
-func (l *List) Ban(id string) (out []ListOutput, listed bool, err error) {
+// ever had it. One that is out stays so. Now is Unix time.
+func (l *List) Ban(id string, now time.Duration) (out []ListOutput, listed bool, err error) {
 	l.out = l.out[:0]
 	switch {
 	case !l.seen[id]:
@@ -112,7 +137,7 @@
 	case len(l.bans) >= mostBans && !l.forgetLifted():
 		return nil, true, ErrTooManyBans
 	}
-	l.bans[id] = Ban{ID: id, Started: l.entries[id].Started}
+	l.bans[id] = Ban{ID: id, Started: l.entries[id].Started, Set: max(now, l.bans[id].said()+1)}
 	l.renew(id)
 	return l.out, true, nil
 }
@@ -125,28 +150,21 @@
 	if !l.banned(id) {
 		return nil, l.seen[id]
 	}
-	l.bans[id] = Ban{ID: id, Started: l.bans[id].Started, Lifted: now}
+	b := l.bans[id]
+	b.Lifted = max(now, b.said()+1) // also where the clock was set back: the later word must look later
+	l.bans[id] = b
 	l.renew(id)
 	return l.out, true
 }
 
-// SetBans has those bans hold that another process of this agent knows, and no others.
-func (l *List) SetBans(bans []Ban) []ListOutput {
+// JoinBans takes in what another process of this agent was told.
+func (l *List) JoinBans(bans []Ban) []ListOutput {
 	l.out = l.out[:0]
-	before := l.bans
-	l.bans = make(map[string]Ban, len(bans))
-	for _, b := range bans[:min(len(bans), mostBans)] {
-		l.bans[b.ID] = b
-		l.see(b.ID)
-	}
-	for _, id := range sorted(l.bans) {
-		if l.bans[id] != before[id] {
-			l.renew(id)
-		}
-	}
-	for _, id := range sorted(before) {
-		if _, still := l.bans[id]; !still {
-			l.renew(id)
+	for _, b := range MergeBans(l.Bans(), bans) {
+		if l.bans[b.ID] != b {
+			l.bans[b.ID] = b
+			l.see(b.ID)
+			l.renew(b.ID)
 		}
 	}
 	return l.out
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,10 +1,12 @@
 package handover
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -26,15 +28,69 @@
 	require.NoError(t, err)
 	require.Empty(t, h)
 	want := Hand{Drained: true, Bans: []core.Ban{{ID: "s-0", Started: 5}, {ID: "s-1", Lifted: 7}}}
-	require.NoError(t, b.Write(want))
+	h, err = b.Update(want, 8)
+	require.NoError(t, err)
+	require.Equal(t, want, h)
 	h, err = b.Read()
 	require.NoError(t, err)
 	require.Equal(t, want, h)
+	h, err = b.Update(Hand{Bans: []core.Ban{{ID: "s-0", Lifted: 9}}}, 9+liftedFor)
+	require.NoError(t, err)
+	require.Equal(t, Hand{Bans: []core.Ban{{ID: "s-0", Lifted: 9}}}, h, "a lift is forgotten in time, and no drain is taken over")
+	require.NoError(t, os.WriteFile(b.path, []byte("{"), 0o600))
+	h, err = b.Update(want, 8)
+	require.NoError(t, err, "what can't be read is replaced")
+	require.Equal(t, want, h)
 	other := &Bans{path: b.path, agent: "n1"}
 	_, err = other.Read()
 	require.ErrorContains(t, err, `it is of agent "n0"`)
 }
 
+// Two processes of an agent are told of booking servers at the same time: the file has them all.
+func TestBansFileOfTwoProcesses(t *testing.T) {
+	folder := t.TempDir()
+	var told sync.WaitGroup
+	const each = 40
+	for process := range 2 {
+		told.Go(func() {
+			b, set := NewBans(folder, "n0", at), Hand{}
+			for i := range each {
+				set.Bans = core.MergeBans(set.Bans, []core.Ban{{ID: fmt.Sprint(process, "-", i), Set: 1}})
+				_, err := b.Update(set, 2)
+				require.NoError(t, err)
+			}
+		})
+	}
+	told.Wait()
+	h, err := NewBans(folder, "n0", at).Read()
+	require.NoError(t, err)
+	require.Len(t, h.Bans, 2*each)
+}
+
+// A note that is told before the offer comes after it.
+func TestNotesWaitForTheOffer(t *testing.T) {
+	folder := t.TempDir()
+	m, err := Await(folder, "n0", at)
+	require.NoError(t, err)
+	go m.Serve(func(error) {}, func(p *Peer) bool {
+		p.Tell(Note{Sockets: 7})
+		_ = p.Give(Offer{Sockets: 9, MemoryMB: 8}, nil)
+		p.Tell(Note{Sockets: 6})
+		p.Listen(func(Note) {})
+		return false
+	})
+	p, offer, _, err := Meet(folder, "n0", at)
+	require.NoError(t, err)
+	require.Equal(t, 9, offer.Sockets)
+	var notes []int
+	p.Listen(func(n Note) {
+		if notes = append(notes, n.Sockets); len(notes) == 2 {
+			p.Close()
+		}
+	})
+	require.Equal(t, []int{7, 6}, notes)
+}
+
 // Two processes meet: the offer comes with its sockets, which both listen at, and notes go both ways.
 func TestMeeting(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/handover/meeting.go
+++ b/internal/handover/meeting.go
@@ -57,13 +57,25 @@
 // Peer is the other process, while both run.
 type Peer struct {
 	conn *net.UnixConn
-	mu   sync.Mutex // one note after the other
+	mu   sync.Mutex // one frame after the other
+	owed bool       // the offer, which comes before any note
+	kept []Note     // until then
 }
 
-// Tell sends a note; one that can't be sent ends the meeting.
+// Tell sends a note; one that can't be sent ends the meeting. Guards against a note that comes before the offer
+// and would be taken for it: it waits for the offer.
 func (p *Peer) Tell(n Note) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.owed {
+		p.kept = append(p.kept, n)
+		return
+	}
+	p.send(n)
+}
+
+// send sends a note; mu is held.
+func (p *Peer) send(n Note) {
 	_ = p.conn.SetWriteDeadline(time.Now().Add(noteWait))
 	if err := writeFrame(p.conn, n, nil); err != nil {
 		p.Close()
@@ -184,7 +196,7 @@
 		if err != nil {
 			return
 		}
-		p := &Peer{conn: conn}
+		p := &Peer{conn: conn, owed: true}
 		if err := p.greeted(m.agent); err != nil {
 			refused(err)
 			p.Close()
@@ -233,8 +245,15 @@
 		}
 		own = append(own, fd)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.conn.SetDeadline(time.Now().Add(meetWait))
-	return writeFrame(p.conn, o, own)
+	err := writeFrame(p.conn, o, own)
+	for _, n := range p.kept {
+		p.send(n)
+	}
+	p.owed, p.kept = false, nil
+	return err
 }
 
 // duplicate is a descriptor of its own for a socket, in the mode that it is in: to ask the library for one
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -56,7 +56,7 @@
 		lift bool
 		done chan<- banned
 	}
-	setBans struct{ bans []core.Ban }
+	joinBans struct{ bans []core.Ban }
 )
 
 // banned is what came of a ban or a lift, and all bans that hold after it.
@@ -96,8 +96,8 @@
 		l.do(l.core.CallEnded(m.call, m.err))
 	case ban:
 		m.done <- l.ban(m)
-	case setBans:
-		l.do(l.core.SetBans(m.bans))
+	case joinBans:
+		l.do(l.core.JoinBans(m.bans))
 	}
 	l.count()
 	return true
@@ -109,7 +109,7 @@
 	if m.lift {
 		out, b.listed = l.core.Lift(m.id, l.clock.now())
 	} else {
-		out, b.listed, b.err = l.core.Ban(m.id)
+		out, b.listed, b.err = l.core.Ban(m.id, l.clock.now())
 	}
 	l.do(out)
 	b.bans = l.core.Bans()
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -222,8 +222,8 @@
 	}
 }
 
-// SetBans has those bans hold that another process of this agent knows.
-func (a *Agent) SetBans(bans []core.Ban) { a.list.mail.put(setBans{bans}) }
+// JoinBans takes in what another process of this agent was told by hand.
+func (a *Agent) JoinBans(bans []core.Ban) { a.list.mail.put(joinBans{bans}) }
 
 // begin hands an operation to the core, which gives it its number.
 func (a *Agent) begin(now time.Duration, o *operation) {
