Tests of upgrades: limits of both processes together, and kills at every stage under long bodies

Need: no test of ours showed that both processes stay within one agent's memory and descriptors, nor what is lost when either is killed with long bodies on the way. Kills of the new process 0 to 200 ms after its start and of the old one 0 to 100 ms after its SIGTERM: at most one request of each client is lost, none runs twice, a ban told before holds.

--- a/cmd/dunestep/upgrade_test.go
+++ b/cmd/dunestep/upgrade_test.go
@@ -47,14 +47,39 @@
 // load has clients ask all the time, on connections that they keep, and counts what they get. A request that
 // meets a close which it crossed is sent once more, as the protocol says.
 type load struct {
+	body               int           // of what must not run twice; zero: a short one
+	pause              time.Duration // of each client
 	stop               chan struct{}
 	wait               sync.WaitGroup
 	ok, busy, lost, no atomic.Int64
 	other              atomic.Int64 // answers that say that it failed
+	first              atomic.Value // of what was lost or failed
+}
+
+// tell keeps what was lost or failed first.
+func (l *load) tell(what ...any) { l.first.CompareAndSwap(nil, fmt.Sprint(what...)) }
+
+// none tells that nothing was lost, turned back or failed.
+func (l *load) none(t *testing.T) {
+	t.Helper()
+	require.Equal(t, []int64{0, 0, 0}, []int64{l.lost.Load(), l.no.Load(), l.other.Load()}, "beside %d that were served: %v",
+		l.ok.Load(), l.first.Load())
 }
 
 func (w *world) load(clients int) *load {
-	l := &load{stop: make(chan struct{})}
+	return w.begin(clients, &load{pause: 2 * time.Millisecond})
+}
+
+// loadOfLong is a load of bodies that are passed on as they come, both ways.
+func (w *world) loadOfLong(clients int) *load {
+	const size = 150_000
+	rest := strings.Repeat("x", size)
+	w.each(func(s step) string { return reply("200 OK", idOf(s)+rest) })
+	return w.begin(clients, &load{body: size, pause: 15 * time.Millisecond})
+}
+
+func (w *world) begin(clients int, l *load) *load {
+	l.stop = make(chan struct{})
 	for range clients {
 		l.wait.Go(func() {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
@@ -63,9 +88,17 @@
 				select {
 				case <-l.stop:
 					return
-				case <-time.After(2 * time.Millisecond):
+				case <-time.After(l.pause):
+				}
+				r := w.request([]string{"consult", "rezervare"}[n%2], 2000)
+				if l.body > 0 && n%2 == 1 {
+					r.ContentLength = int64(l.body)
+					r.GetBody = func() (io.ReadCloser, error) {
+						return io.NopCloser(strings.NewReader(strings.Repeat("y", l.body))), nil
+					}
+					r.Body, _ = r.GetBody()
 				}
-				l.ask(client, w.request([]string{"consult", "rezervare"}[n%2], 2000))
+				l.ask(client, r)
 			}
 		})
 	}
@@ -74,7 +107,12 @@
 
 func (l *load) ask(client *http.Client, r *http.Request) {
 	resp, err := client.Do(r)
+	if errors.Is(err, syscall.ECONNRESET) && r.GetBody != nil { // the library sends a long one no second time
+		r.Body, _ = r.GetBody()
+		resp, err = client.Do(r)
+	}
 	if err != nil {
+		l.tell(err)
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
 			l.no.Add(1)
@@ -87,12 +125,14 @@
 	body, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil || resp.StatusCode == 200 && !strings.HasPrefix(string(body), r.Header.Get("X-Correlation-Id")):
+		l.tell(resp.StatusCode, len(body), err)
 		l.lost.Add(1)
 	case resp.StatusCode == 200:
 		l.ok.Add(1)
 	case resp.StatusCode == 503, resp.StatusCode == 429:
 		l.busy.Add(1)
 	default:
+		l.tell(resp.StatusCode, string(body))
 		l.other.Add(1)
 	}
 }
@@ -142,7 +182,7 @@
 		require.Equal(t, 1, now.stats().Ejected)
 	}
 	l.end()
-	require.Equal(t, []int64{0, 0, 0}, []int64{l.lost.Load(), l.no.Load(), l.other.Load()}, "beside %d that were served", l.ok.Load())
+	l.none(t)
 	w.once()
 	require.Zero(t, now.quit())
 }
@@ -289,3 +329,94 @@
 	require.Zero(t, w.quit())
 	require.Zero(t, next.quit())
 }
+
+// Memory and descriptors of both processes together stay within one agent's limits while one takes over from the
+// other under a load of long bodies both ways, and nothing is lost.
+func TestUpgradeWithinTheLimits(t *testing.T) {
+	const memoryMB, sockets = 32, 256
+	w := newWorldAlone(t, 3).start(door, (*world).patient, plainly, func(w *world) {
+		w.config["limits"].(object)["memory_mb"] = memoryMB
+		w.config["limits"].(object)["sockets"] = sockets
+	})
+	l := w.loadOfLong(80) // a third of the descriptors
+	both := []*world{w}
+	most := func() (kB, descriptors int) {
+		file := 0 // of the program, the same pages in both
+		for _, p := range both {
+			kB, descriptors = kB+p.status("RssAnon"), descriptors+p.descriptors()
+			file = max(file, p.status("RssFile"))
+		}
+		return kB + file, descriptors
+	}
+	var peakKB, peakDescriptors int
+	look := func(span time.Duration) {
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+			kB, descriptors := most()
+			peakKB, peakDescriptors = max(peakKB, kB), max(peakDescriptors, descriptors)
+		}
+	}
+	for range 3 {
+		old := both[0]
+		goal := l.ok.Load() + 50
+		w.until("it goes on", func() bool { return l.ok.Load() > goal })
+		next := old.another()
+		next.launch()
+		both = append(both, next)
+		look(500 * time.Millisecond)
+		require.Contains(t, next.log.String(), "taking over from the process that runs")
+		require.NoError(t, old.process.Process.Signal(syscall.SIGTERM))
+		look(time.Second)
+		require.Zero(t, old.quit())
+		both = both[1:]
+	}
+	l.end()
+	t.Logf("at most %d kB and %d descriptors, %d served, %d refused", peakKB, peakDescriptors, l.ok.Load(), l.busy.Load())
+	l.none(t)
+	require.LessOrEqual(t, peakKB, memoryMB<<10)
+	require.LessOrEqual(t, peakDescriptors, sockets)
+	w.once()
+	require.Zero(t, both[0].quit())
+}
+
+// Either process is killed at any stage, with long bodies on the way: only what it had taken is lost, at most one
+// request of each client, none runs twice, and the other goes on with what was set by hand.
+func TestKillsDuringUpgrades(t *testing.T) {
+	const clients = 8
+	w := newWorldAlone(t, 3).start(door, (*world).patient)
+	l := w.loadOfLong(clients)
+	now, out, lost := w, w.servers[2], int64(0)
+	now.yes("POST", "/ops/booking-servers/down", "s-2")
+	goesOn := func(stage string) {
+		before, goal := len(out.steps()), l.ok.Load()+40
+		now.until(stage, func() bool { return l.ok.Load() > goal })
+		require.Equal(t, before, len(out.steps()), stage)
+		require.LessOrEqual(t, l.lost.Load()-lost, int64(clients), stage)
+		lost = l.lost.Load()
+	}
+	goesOn("alone")
+	require.Zero(t, lost)
+	for _, wait := range []time.Duration{0, 5, 15, 30, 60, 200} {
+		next := now.another()
+		next.launch()
+		time.Sleep(wait * time.Millisecond)
+		_ = next.process.Process.Kill()
+		await(t, next.exited)
+		goesOn(fmt.Sprint("the new one killed after ", wait*time.Millisecond))
+	}
+	for _, wait := range []time.Duration{0, 20, 100} { // after its SIGTERM
+		next := now.upgrade()
+		_ = now.process.Process.Signal(syscall.SIGTERM)
+		time.Sleep(wait * time.Millisecond)
+		_ = now.process.Process.Kill()
+		await(t, now.exited)
+		now = next
+		goesOn(fmt.Sprint("the old one killed ", wait*time.Millisecond, " after its SIGTERM"))
+		require.Equal(t, 1, now.stats().Ejected)
+	}
+	l.end()
+	require.Zero(t, l.no.Load(), "no connection was refused")
+	w.once()
+	require.Zero(t, now.quit())
+	w.process = exec.Command("true") // it was killed: there is no exit code to look at
+	require.NoError(t, w.process.Run())
+}
