Tests: SIGHUP and datagrams during an upgrade, bodies of 32 MB both ways in 32 MB

Both processes of an upgrade take the new address of discovery and the new limits, and what the new address lists as leaving gets nothing once the old process has ended. Datagrams go on from the agent's address when the new process dies and when the old one ends.

--- a/cmd/dunestep/upgrade_test.go
+++ b/cmd/dunestep/upgrade_test.go
@@ -420,3 +420,59 @@
 	w.process = exec.Command("true") // it was killed: there is no exit code to look at
 	require.NoError(t, w.process.Run())
 }
+
+// SIGHUP in the middle of an upgrade is taken by both processes: each has the list from the new address, and the
+// limits that are there once the old one has ended are the new ones.
+func TestReloadDuringAnUpgrade(t *testing.T) {
+	w := start(t, 2, door)
+	first, second := w.discovery, newDiscovery(t)
+	w.until("watch", func() bool { return first.watched() == 1 })
+	next := w.upgrade()
+	w.until("both watch", func() bool { return first.watched() == 2 })
+	w.config["discovery"] = second.addr // both have it
+	w.config["limits"].(object)["sockets"] = 700
+	for _, p := range []*world{w, next} {
+		p.configure()
+		require.NoError(t, p.process.Process.Signal(syscall.SIGHUP))
+	}
+	w.until("both watch the new address", func() bool { return second.watched() == 2 && first.watched() == 0 })
+	for _, p := range []*world{w, next} {
+		require.Contains(t, p.log.String(), "sockets=700")
+	}
+	second.say(list(60, false, w.servers[0].entry("leaving")))
+	for _, p := range []*world{w, next} {
+		p.until("told", func() bool { return p.stats().Size == 2 })
+	}
+	require.Zero(t, w.quit())
+	next.until("all of the limits", func() bool { return strings.Contains(next.log.String(), "all of the limits") })
+	before := len(w.servers[0].steps())
+	for range 20 {
+		require.Equal(t, 200, next.ask("consult").status)
+	}
+	require.Equal(t, before, len(w.servers[0].steps()), "what drains by the new address gets nothing")
+	require.Zero(t, next.quit())
+}
+
+// The agent's datagrams go on whichever process of an upgrade ends, from the same address.
+func TestDatagramsDuringUpgrades(t *testing.T) {
+	w := start(t, 1, door)
+	heard := func(what string) {
+		buf := make([]byte, 1024)
+		for range 2 { // what is on its way may be of the one that ended
+			require.NoError(t, w.peer.SetReadDeadline(time.Now().Add(patience)))
+			_, from, err := w.peer.ReadFromUDP(buf)
+			require.NoError(t, err, what)
+			require.Equal(t, w.addr, from.String(), what)
+		}
+	}
+	heard("alone")
+	failed := w.upgrade()
+	_ = failed.process.Process.Kill()
+	await(t, failed.exited)
+	w.until("it goes on", func() bool { return strings.Contains(w.log.String(), "this one goes on") })
+	heard("the new one has died")
+	next := w.upgrade()
+	require.Zero(t, w.quit())
+	heard("the old one has ended")
+	require.Zero(t, next.quit())
+}
--- a/cmd/dunestep/uploads_test.go
+++ b/cmd/dunestep/uploads_test.go
@@ -185,3 +185,34 @@
 	}
 	clients.Wait()
 }
+
+// Bodies of 32 MB both ways, several at a time, in an agent that has 32 MB and 256 descriptors.
+func TestBodiesBothWaysInLittleMemory(t *testing.T) {
+	const size, clients = 32_000_000, 4
+	w := newWorldAlone(t, 2).start((*world).patient, plainly, func(w *world) {
+		w.config["limits"].(object)["memory_mb"] = 32
+		w.config["limits"].(object)["sockets"] = 256
+	})
+	body := strings.Repeat("0123456789abcdef", size/16)
+	w.each(func(s step) string {
+		if s.body != body {
+			return reply("500 No", "")
+		}
+		return reply("200 OK", body)
+	})
+	var asked sync.WaitGroup
+	for range clients {
+		asked.Go(func() {
+			c, _ := w.upload(fmt.Sprint("Content-Length: ", size))
+			go func() { _, _ = io.WriteString(c, body) }()
+			status, text := answered(t, c)
+			require.Equal(t, 200, status)
+			require.True(t, text == body)
+		})
+	}
+	asked.Wait()
+	peak, _ := w.memory()
+	t.Logf("at most %d kB", peak)
+	require.Less(t, peak, 32<<10)
+	require.Less(t, w.descriptors(), 256)
+}
