Rehearsals: booking servers taken out by hand, restarted and put back

The servers are restarted half way and put back cold. Not chosen: a server that discovery lists as leaving, which is late, the same for all agents, and never contradicted.

--- a/internal/rehearsal/live/live.go
+++ b/internal/rehearsal/live/live.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkSize(set); err != nil {
+	if err := checkPlan(set); err != nil {
 		return nil, err
 	}
 	defer debug.SetGCPercent(debug.SetGCPercent(fewCollections))
@@ -118,8 +118,13 @@
 
 const maxAgents = 64
 
-// checkSize tells whether the day can be played on this machine at all.
-func checkSize(set *scenario.Scenario) error {
+// checkPlan tells whether the day can be played live, on this machine, at all.
+func checkPlan(set *scenario.Scenario) error {
+	for i, t := range set.Troubles {
+		if t.Kind == scenario.TakenOut {
+			return fmt.Errorf("trouble %d: %q is not played live: the agents have no door there", i+1, t.Kind)
+		}
+	}
 	if set.Agents.Count > maxAgents {
 		return fmt.Errorf("%d agents are too many to play live: %d at most", set.Agents.Count, maxAgents)
 	}
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -373,6 +373,9 @@
 	// AgentsRestarted: Count agents, the busiest first, are told to end. They drain, and start from nothing when
 	// the trouble ends.
 	AgentsRestarted TroubleKind = "agents_restarted"
+	// TakenOut: staff take servers out by hand at every agent that runs, have them restarted half way, and put
+	// them back when the trouble ends. Discovery knows of the restarts alone.
+	TakenOut TroubleKind = "taken_out"
 	// DiscoveryDown: calls to discovery fail and its watches end.
 	DiscoveryDown TroubleKind = "discovery_down"
 	// EmptyList: discovery tells that every server is gone, and when it ends that all are back.
@@ -441,6 +444,7 @@
 	Crashed:         {need: []string{"part"}, may: comesAndGoes},
 	AgentsKilled:    {need: []string{"count"}},
 	AgentsRestarted: {need: []string{"count"}},
+	TakenOut:        {need: []string{"part"}},
 	DiscoveryDown:   {},
 	EmptyList:       {},
 	Reset:           {need: []string{"size"}, most: 1},
--- a/internal/rehearsal/world/discovery.go
+++ b/internal/rehearsal/world/discovery.go
@@ -317,7 +317,7 @@
 }
 
 // writes records what an agent is told: each entry, and of a whole list also which servers it lacks that
-// the agent had.
+// the agent had. What staff have taken out drains for this agent, whatever it is told.
 func (l *life) writes(list []listed, full bool) {
 	for _, e := range list {
 		if e.server == nil {
@@ -326,6 +326,9 @@
 		for len(l.told) <= e.server.number {
 			l.told = append(l.told, false)
 		}
+		if e.state == decide.Ready && l.agent.out[e.server] {
+			e.state = decide.Draining
+		}
 		had, there := l.told[e.server.number], e.state != decide.Gone
 		l.told[e.server.number] = there
 		if !full || there || had {
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -30,6 +30,8 @@
 	coming *life // of a real program that is not ready yet
 	client *client
 	disk   []byte // that outlives it: the file as it was last written whole
+	bans   []core.Ban
+	out    map[*server]bool // of the bans: those that hold
 }
 
 func (a *agent) link(s *server) *link {
@@ -146,7 +148,7 @@
 		list = w.discovery.asOfVersion(known.Version)
 	}
 	l := &life{w: w, agent: a, router: core.NewRouter(set, gate),
-		list:        core.NewList(serverAddr(0), known, nil),
+		list:        core.NewList(serverAddr(0), known, a.bans),
 		idle:        core.NewIdleLimit(clockStart+w.now, w.set.Connections.Idle),
 		descriptors: core.NewDescriptors(w.set.Agents.Sockets), upstreams: map[string]*upstream{},
 		operations: map[uint32]*operation{}, calls: map[int]*call{}}
@@ -160,7 +162,7 @@
 	}
 	w.record.agent(record.AgentUp, a)
 	l.writes(list, true)
-	l.post(message{kind: poolNews, sync: decide.SyncSaved, config: known})
+	l.post(message{kind: poolNews, sync: decide.SyncSaved, config: l.list.Known(known)})
 	return nil
 }
 
--- a/internal/rehearsal/world/trouble.go
+++ b/internal/rehearsal/world/trouble.go
@@ -99,6 +99,12 @@
 				a.life.drain()
 			}
 		}
+	case scenario.TakenOut:
+		t.servers = t.pick()
+		for _, a := range w.agents {
+			a.takeOut(t.servers)
+		}
+		w.after(t.lasts/2, rankTrouble, (*restartByHand)(t))
 	case scenario.DiscoveryDown:
 		w.discovery.stop()
 	case scenario.EmptyList:
@@ -138,17 +144,17 @@
 			}
 		}
 	case scenario.Crashed:
-		for i, s := range t.servers {
-			if s.process == t.processes[i] && !s.left { // not replaced meanwhile
-				s.start(true)
-				w.discovery.hears(s.entry(decide.Ready), w.discovery.join)
-			}
-		}
+		t.startAgain()
 	case scenario.AgentsKilled, scenario.AgentsRestarted:
 		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
 			a.kept--
 			a.rise()
 		}
+	case scenario.TakenOut:
+		t.startAgain()
+		for _, a := range w.agents {
+			a.putBack(t.servers)
+		}
 	case scenario.DiscoveryDown:
 		w.discovery.start()
 	case scenario.EmptyList:
@@ -161,6 +167,17 @@
 	}
 }
 
+// startAgain starts the servers whose processes the trouble has ended, cold, but for those that were replaced
+// meanwhile.
+func (t *trouble) startAgain() {
+	for i, s := range t.servers[:len(t.processes)] {
+		if s.process == t.processes[i] && !s.left {
+			s.start(true)
+			t.w.discovery.hears(s.entry(decide.Ready), t.w.discovery.join)
+		}
+	}
+}
+
 // pick chooses the trouble's part of the servers that run: by lots of their own, so that one more server
 // does not change how the others stand.
 func (t *trouble) pick() []*server {
--- a/internal/rehearsal/world/trouble_test.go
+++ b/internal/rehearsal/world/trouble_test.go
@@ -142,6 +142,19 @@
 				"clients go on using what connections they have")
 			require.Greater(t, d.count(record.Asked, troubleTo+second, dayLength, busiest), 500)
 		}},
+		{trouble: scenario.Trouble{Kind: scenario.TakenOut, Part: span(0.19, 0.19)}, check: func(t *testing.T, d *diary) {
+			out := map[int32]bool{}
+			for _, e := range d.of(record.ServerDown) {
+				require.Equal(t, troubleFrom+6*second, e.At, "restarted half way")
+				out[e.Server] = true
+			}
+			require.Len(t, out, 2)
+			from := func(e record.Event) bool { return out[e.Server] }
+			require.Zero(t, d.count(record.Sent, troubleFrom+100*time.Millisecond, troubleTo, from), "nothing new but on connections that were coming up")
+			require.Equal(t, 2, d.count(record.ServerUp, troubleTo, troubleTo+1,
+				func(e record.Event) bool { return e.Cold && e.Started == troubleTo }))
+			require.Greater(t, d.count(record.Sent, troubleTo, troubleTo+6*second, from), 10, "and they are used again")
+		}},
 		{trouble: scenario.Trouble{Kind: scenario.DiscoveryDown}, check: func(t *testing.T, d *diary) {
 			require.Equal(t, 5, d.count(record.CallFailed, troubleFrom, troubleFrom+1, nil), "each agent's watch ends")
 			require.Zero(t, d.count(record.Watching, troubleFrom, troubleTo, nil))
