Rehearsals: agents that send their clients away by hand and take them again

Design: trouble `sent_away`, as the front does it: answers close their connections, none stands idle after 1.7 s, who comes within 0.3 s is served, and clients go to the other agents until the end; the agent goes on. Not chosen: the planned restart's drain without its end, which has phases that can't be taken back.

--- a/internal/rehearsal/scenario/check.go
+++ b/internal/rehearsal/scenario/check.go
@@ -207,7 +207,7 @@
 		}
 		d.Complain(path+".fault", "%q is unknown; allowed: %s", t.Fault, list(all))
 	}
-	if (t.Kind == AgentsKilled || t.Kind == AgentsRestarted) && t.Count > s.Agents.Count {
+	if slices.Contains(troubleKinds[t.Kind].need, "count") && t.Count > s.Agents.Count {
 		d.Complain(path+".count", "there are only %d agents", s.Agents.Count)
 	}
 }
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -376,6 +376,9 @@
 	// TakenOut: staff take servers out by hand at every agent that runs, have them restarted half way, and put
 	// them back when the trouble ends. Discovery knows of the restarts alone.
 	TakenOut TroubleKind = "taken_out"
+	// SentAway: Count agents, the busiest first, send their clients away by hand, and take them again when the
+	// trouble ends.
+	SentAway TroubleKind = "sent_away"
 	// DiscoveryDown: calls to discovery fail and its watches end.
 	DiscoveryDown TroubleKind = "discovery_down"
 	// EmptyList: discovery tells that every server is gone, and when it ends that all are back.
@@ -406,7 +409,7 @@
 	For  TimeSpan    `toml:"for_s,need" range:"0.1..86400"`
 	Part Span        `toml:"part" range:"0.001..1"`
 	Size Span        `toml:"size" range:"0..1000"`
-	// Agents that are killed.
+	// Agents that it comes over.
 	Count int      `toml:"count" range:"1..20000"`
 	Zone  string   `toml:"zone"`
 	Fault Fault    `toml:"fault"`
@@ -445,6 +448,7 @@
 	AgentsKilled:    {need: []string{"count"}},
 	AgentsRestarted: {need: []string{"count"}},
 	TakenOut:        {need: []string{"part"}},
+	SentAway:        {need: []string{"count"}},
 	DiscoveryDown:   {},
 	EmptyList:       {},
 	Reset:           {need: []string{"size"}, most: 1},
--- a/internal/rehearsal/world/byhand.go
+++ b/internal/rehearsal/world/byhand.go
@@ -1,9 +1,16 @@
 package world
 
-import "dunestep/decide"
+import (
+	"time"
+
+	"dunestep/decide"
+)
 
 // What staff do at the agents' door, as far as a day in virtual time has it.
 
+// awayBy is when, after clients were sent away by hand, none of their connections stands idle any more.
+const awayBy = 1700 * time.Millisecond
+
 // takeOut has an agent that runs send nothing new to the servers from now on, whatever discovery tells.
 func (a *agent) takeOut(servers []*server) {
 	l := a.life
@@ -59,3 +66,32 @@
 		}
 	}
 }
+
+// sendAway has an agent that runs send its clients away: answers close their connections, and those that stand
+// idle are closed in a while. It goes on, and serves who comes all the same.
+func (a *agent) sendAway() {
+	l := a.life
+	if l == nil || l.remote || l.away {
+		return
+	}
+	l.away, l.awayFrom = true, a.w.now
+	a.w.after(awayBy, rankTimer, (*noneIdle)(l))
+}
+
+// takeAgain has an agent take clients again.
+func (a *agent) takeAgain() {
+	if a.life != nil {
+		a.life.away = false
+	}
+}
+
+// noneIdle closes the connections that still stand idle at an agent that sends its clients away.
+type noneIdle life
+
+func (n *noneIdle) happen() {
+	l := (*life)(n)
+	if l.dead || !l.away || l.w.now < l.awayFrom+awayBy {
+		return
+	}
+	l.closeIdle()
+}
--- a/internal/rehearsal/world/client.go
+++ b/internal/rehearsal/world/client.go
@@ -82,11 +82,11 @@
 }
 
 // ask makes a request's next try, at the agent beside the client or, where that is down and the clients
-// do so, at the next one that is up.
+// do so, at the next one that is up; the first try too, where the agent has said that it takes no clients.
 func (q *request) ask(nth int) {
 	w := q.client.w
 	a := q.client.agent
-	if nth > 0 && w.set.Clients.Elsewhere {
+	if (nth > 0 || a.life != nil && a.life.away) && w.set.Clients.Elsewhere {
 		for range w.agents {
 			if a.takes() {
 				break
@@ -208,7 +208,7 @@
 	}
 	f := t.conn
 	crowded, pressing := l.descriptors.Crowded()
-	if pressing || crowded && !f.answered || l.end.closing {
+	if pressing || crowded && !f.answered || l.end.closing || l.away {
 		f.close()
 	}
 	f.answered = true
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -66,6 +66,8 @@
 	mail        []message
 	handling    bool
 	end         draining
+	away        bool // clients are sent away by hand
+	awayFrom    time.Duration
 	taken       uint64             // operations so far, for their ids on the socket
 	wire        protocol.Operation // used again: the router keeps none
 }
--- a/internal/rehearsal/world/restart.go
+++ b/internal/rehearsal/world/restart.go
@@ -48,11 +48,7 @@
 	switch phase {
 	case core.Closing:
 		l.end.closing = true
-		idle := l.agent.client.idle
-		l.agent.client.idle = nil
-		for _, f := range idle {
-			f.close()
-		}
+		l.closeIdle()
 		l.endIfEmpty()
 	case core.Abandoning:
 		l.post(message{kind: abandon})
@@ -63,6 +59,15 @@
 	l.w.enter(until-clockStart, rankTimer, d)
 }
 
+// closeIdle closes the clients' connections that stand idle.
+func (l *life) closeIdle() {
+	idle := l.agent.client.idle
+	l.agent.client.idle = nil
+	for _, f := range idle {
+		f.close()
+	}
+}
+
 // endIfEmpty ends a draining life that holds no client connection any more, once its last answer is there.
 func (l *life) endIfEmpty() {
 	if l.end.closing && l.clients.held == 0 && len(l.clients.waiting) == 0 {
@@ -88,7 +93,13 @@
 // takes tells whether a client can reach the agent: by a connection that it has, or a new one.
 func (a *agent) takes() bool {
 	l := a.life
-	return l != nil && (!l.end.told || a.w.now < l.end.arrives || len(a.client.idle) > 0)
+	switch {
+	case l == nil:
+		return false
+	case len(a.client.idle) > 0:
+		return true
+	}
+	return (!l.end.told || a.w.now < l.end.arrives) && (!l.away || a.w.now < l.awayFrom+lateClients)
 }
 
 // rise starts the agent's program again, unless it runs or a trouble keeps it down.
--- a/internal/rehearsal/world/trouble.go
+++ b/internal/rehearsal/world/trouble.go
@@ -105,6 +105,10 @@
 			a.takeOut(t.servers)
 		}
 		w.after(t.lasts/2, rankTrouble, (*restartByHand)(t))
+	case scenario.SentAway:
+		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
+			a.sendAway()
+		}
 	case scenario.DiscoveryDown:
 		w.discovery.stop()
 	case scenario.EmptyList:
@@ -155,6 +159,10 @@
 		for _, a := range w.agents {
 			a.putBack(t.servers)
 		}
+	case scenario.SentAway:
+		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
+			a.takeAgain()
+		}
 	case scenario.DiscoveryDown:
 		w.discovery.start()
 	case scenario.EmptyList:
--- a/internal/rehearsal/world/trouble_test.go
+++ b/internal/rehearsal/world/trouble_test.go
@@ -155,6 +155,14 @@
 				func(e record.Event) bool { return e.Cold && e.Started == troubleTo }))
 			require.Greater(t, d.count(record.Sent, troubleTo, troubleTo+6*second, from), 10, "and they are used again")
 		}},
+		{trouble: scenario.Trouble{Kind: scenario.SentAway, Count: 1}, check: func(t *testing.T, d *diary) {
+			require.Zero(t, d.count(record.Lost, 0, dayLength, nil), "what it has taken it answers")
+			require.Zero(t, d.count(record.AgentDown, 0, dayLength, nil), "it goes on")
+			busiest := func(e record.Event) bool { return e.Agent == 0 }
+			require.Greater(t, d.count(record.Asked, troubleFrom, troubleFrom+second, busiest), 10)
+			require.Zero(t, d.count(record.Asked, troubleFrom+2*second, troubleTo, busiest))
+			require.Greater(t, d.count(record.Asked, troubleTo+second, dayLength, busiest), 500)
+		}},
 		{trouble: scenario.Trouble{Kind: scenario.DiscoveryDown}, check: func(t *testing.T, d *diary) {
 			require.Equal(t, 5, d.count(record.CallFailed, troubleFrom, troubleFrom+1, nil), "each agent's watch ends")
 			require.Zero(t, d.count(record.Watching, troubleFrom, troubleTo, nil))
