Rehearsals: upgrades, with what was learned and the bans handed over

The record has one agent: no end of it is told. Not chosen: a restart with a short gap, which shows nothing of two runs beside each other.

--- a/internal/rehearsal/live/live.go
+++ b/internal/rehearsal/live/live.go
@@ -121,8 +121,9 @@
 // checkPlan tells whether the day can be played live, on this machine, at all.
 func checkPlan(set *scenario.Scenario) error {
 	for i, t := range set.Troubles {
-		if t.Kind == scenario.TakenOut || t.Kind == scenario.SentAway {
-			return fmt.Errorf("trouble %d: %q is not played live: the agents have no door there", i+1, t.Kind)
+		switch t.Kind {
+		case scenario.TakenOut, scenario.SentAway, scenario.Upgraded:
+			return fmt.Errorf("trouble %d: %q is not played live yet", i+1, t.Kind)
 		}
 	}
 	if set.Agents.Count > maxAgents {
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -379,6 +379,8 @@
 	// SentAway: Count agents, the busiest first, send their clients away by hand, and take them again when the
 	// trouble ends.
 	SentAway TroubleKind = "sent_away"
+	// Upgraded: at Count agents, the busiest first, a new process takes over, and the old one ends in order.
+	Upgraded TroubleKind = "upgraded"
 	// DiscoveryDown: calls to discovery fail and its watches end.
 	DiscoveryDown TroubleKind = "discovery_down"
 	// EmptyList: discovery tells that every server is gone, and when it ends that all are back.
@@ -449,6 +451,7 @@
 	AgentsRestarted: {need: []string{"count"}},
 	TakenOut:        {need: []string{"part"}},
 	SentAway:        {need: []string{"count"}},
+	Upgraded:        {need: []string{"count"}},
 	DiscoveryDown:   {},
 	EmptyList:       {},
 	Reset:           {need: []string{"size"}, most: 1},
--- a/internal/rehearsal/world/byhand.go
+++ b/internal/rehearsal/world/byhand.go
@@ -1,9 +1,12 @@
 package world
 
 import (
+	"slices"
 	"time"
 
 	"dunestep/decide"
+	"dunestep/internal/rehearsal/scenario"
+	"dunestep/internal/state"
 )
 
 // What staff do at the agents' door, as far as a day in virtual time has it.
@@ -95,3 +98,29 @@
 	}
 	l.closeIdle()
 }
+
+// upgrades tells whether the day has any.
+func (w *world) upgrades() bool {
+	return slices.ContainsFunc(w.set.Troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Upgraded })
+}
+
+// upgrade has a new run of an agent's program take over from one that serves, with what that one has learned and
+// what staff have set. The old one takes no new connection, and ends in order.
+func (a *agent) upgrade() {
+	old := a.life
+	if old == nil || old.remote || old.end.told {
+		return
+	}
+	raw, err := state.Encode(old.content())
+	if err != nil {
+		return
+	}
+	disk := a.disk
+	a.disk, a.life, old.replaced = raw, nil, true
+	err = a.begin()
+	if a.disk = disk; err != nil { // its settings were good when the day began
+		return
+	}
+	old.drain()
+	old.away, old.awayFrom = true, a.w.now
+}
--- a/internal/rehearsal/world/client.go
+++ b/internal/rehearsal/world/client.go
@@ -111,7 +111,9 @@
 	} else {
 		w.enter(t.leaves, rankClient, (*tryLate)(t))
 	}
-	t.conn = a.client.connection(t.life)
+	if t.conn = a.client.connection(t.life); t.life != nil {
+		t.life = t.conn.life // which another life may have replaced
+	}
 	w.after(w.network.client, rankArrival, (*tryReaches)(t))
 }
 
@@ -337,7 +339,7 @@
 
 // resetAll breaks the connections of a client whose agent was killed.
 func (c *client) resetAll(l *life) {
-	c.idle = nil
+	c.idle = slices.DeleteFunc(c.idle, func(f *frontConn) bool { return f.life == l })
 	w := c.w
 	for _, t := range l.unanswered() {
 		w.after(w.network.client, rankArrival, (*tryLost)(t))
--- a/internal/rehearsal/world/day_test.go
+++ b/internal/rehearsal/world/day_test.go
@@ -121,7 +121,7 @@
 // anyTrouble draws a trouble of any kind within a day of 20 s.
 func anyTrouble(t *rapid.T, i int) scenario.Trouble {
 	kinds := []scenario.TroubleKind{scenario.Silent, scenario.Failing, scenario.Refusing, scenario.Deploy, scenario.Slow,
-		scenario.Vanished, scenario.Crashed, scenario.AgentsKilled, scenario.AgentsRestarted, scenario.TakenOut, scenario.SentAway,
+		scenario.Vanished, scenario.Crashed, scenario.AgentsKilled, scenario.AgentsRestarted, scenario.TakenOut, scenario.SentAway, scenario.Upgraded,
 		scenario.DiscoveryDown, scenario.EmptyList,
 		scenario.Reset, scenario.Forgotten, scenario.Spoilt, scenario.Surge, scenario.Partition,
 		scenario.DatagramsLost, scenario.FewConnections}
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -66,6 +66,7 @@
 	mail        []message
 	handling    bool
 	end         draining
+	replaced    bool // another life has taken over
 	away        bool // clients are sent away by hand
 	awayFrom    time.Duration
 	taken       uint64             // operations so far, for their ids on the socket
@@ -155,7 +156,7 @@
 		descriptors: core.NewDescriptors(w.set.Agents.Sockets), upstreams: map[string]*upstream{},
 		operations: map[uint32]*operation{}, calls: map[int]*call{}}
 	a.life = l
-	if s := &w.set.Agents; s.KeepEvery > 0 || s.ProvesList {
+	if s := &w.set.Agents; s.KeepEvery > 0 || s.ProvesList || w.upgrades() {
 		l.session = state.NewSession(start, balancer, gate, l.idle,
 			state.Proof{Wanted: s.ProvesList, Deploy: s.DeployTakes})
 	}
@@ -175,8 +176,13 @@
 		return
 	}
 	a.life = nil
-	l.dead = true
 	a.w.record.agent(record.AgentDown, a)
+	l.finish()
+}
+
+// finish ends one run of the program: its machine resets its connections.
+func (l *life) finish() {
+	l.dead = true
 	for _, c := range l.calls {
 		c.forget()
 	}
@@ -190,7 +196,7 @@
 		}
 		c.close()
 	}
-	a.client.resetAll(l)
+	l.agent.client.resetAll(l)
 }
 
 func (l *life) clock() time.Duration { return clockStart + l.w.now }
@@ -304,7 +310,9 @@
 		case core.SetTimer:
 			w.enter(o.At-clockStart, rankTimer, &message{kind: timerDue, life: l, tag: o.Tag})
 		case core.Tell:
-			l.tell(o.Peer, o.Data)
+			if !l.replaced { // one process speaks for the agent
+				l.tell(o.Peer, o.Data)
+			}
 		case core.Subscribe:
 			l.heed(l.list.Subscribe())
 		case core.Fetch:
--- a/internal/rehearsal/world/memory.go
+++ b/internal/rehearsal/world/memory.go
@@ -59,13 +59,17 @@
 	if l.w.set.Agents.KeepEvery == 0 {
 		return
 	}
-	f := &state.File{Content: l.session.Snapshot(l.clock()).Content(),
-		Header: state.Header{Owner: l.agent.owner(), Written: l.w.wallClock().UnixMilli()}}
-	if raw, err := state.Encode(f); err == nil {
+	if raw, err := state.Encode(l.content()); err == nil {
 		l.w.after(l.w.set.Agents.KeepTakes, rankTimer, &written{l, raw})
 	}
 }
 
+// content is what the agent knows now.
+func (l *life) content() *state.File {
+	return &state.File{Content: l.session.Snapshot(l.clock()).Content(),
+		Header: state.Header{Owner: l.agent.owner(), Written: l.w.wallClock().UnixMilli()}}
+}
+
 // written is when a write is whole.
 type written struct {
 	life *life
--- a/internal/rehearsal/world/restart.go
+++ b/internal/rehearsal/world/restart.go
@@ -61,9 +61,16 @@
 
 // closeIdle closes the clients' connections that stand idle.
 func (l *life) closeIdle() {
-	idle := l.agent.client.idle
-	l.agent.client.idle = nil
-	for _, f := range idle {
+	var own, others []*frontConn
+	for _, f := range l.agent.client.idle {
+		if f.life == l {
+			own = append(own, f)
+		} else {
+			others = append(others, f)
+		}
+	}
+	l.agent.client.idle = others
+	for _, f := range own {
 		f.close()
 	}
 }
@@ -86,6 +93,10 @@
 		t.end()
 		t.again(false)
 	}
+	if l.replaced {
+		l.finish()
+		return
+	}
 	a.kill()
 	a.rise()
 }
--- a/internal/rehearsal/world/trouble.go
+++ b/internal/rehearsal/world/trouble.go
@@ -105,6 +105,10 @@
 			a.takeOut(t.servers)
 		}
 		w.after(t.lasts/2, rankTrouble, (*restartByHand)(t))
+	case scenario.Upgraded:
+		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
+			a.upgrade()
+		}
 	case scenario.SentAway:
 		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
 			a.sendAway()
--- a/internal/rehearsal/world/trouble_test.go
+++ b/internal/rehearsal/world/trouble_test.go
@@ -155,6 +155,14 @@
 				func(e record.Event) bool { return e.Cold && e.Started == troubleTo }))
 			require.Greater(t, d.count(record.Sent, troubleTo, troubleTo+6*second, from), 10, "and they are used again")
 		}},
+		{trouble: scenario.Trouble{Kind: scenario.Upgraded, Count: 3}, check: func(t *testing.T, d *diary) {
+			require.Zero(t, d.count(record.Lost, 0, dayLength, nil), "what either has taken it answers")
+			require.Zero(t, d.count(record.Unreached, 0, dayLength, nil), "and no client is turned back")
+			require.Equal(t, 3, d.count(record.AgentUp, troubleFrom, troubleFrom+1, nil))
+			require.Zero(t, d.count(record.AgentDown, 0, dayLength, nil), "it is one agent")
+			require.Greater(t, d.count(record.Answered, troubleFrom+2*second, dayLength,
+				func(e record.Event) bool { return e.Agent == 0 && served(e) }), 500)
+		}},
 		{trouble: scenario.Trouble{Kind: scenario.SentAway, Count: 1}, check: func(t *testing.T, d *diary) {
 			require.Zero(t, d.count(record.Lost, 0, dayLength, nil), "what it has taken it answers")
 			require.Zero(t, d.count(record.AgentDown, 0, dayLength, nil), "it goes on")
