Module: callers in a hurry get the quickest server where it is likely in time

Change: where the client's own time is under the aim, the quickest server of all has the request if it is expected within that time and no crowd forbids it; a step that such a time cuts off is not sampled as half an aim.

--- a/cmd/dunestep/hand.go
+++ b/cmd/dunestep/hand.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// keep writes what is set to the file, takes in what the file has of another process, and tells that one; mu is
-// held.
+// keep writes what is set to the file, takes in what the file has of another process, and tells that one; mu
+// is held.
 func (h *hand) keep() error {
 	merged, err := h.file.Update(h.set, unixNow())
 	h.join(merged)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -153,8 +153,7 @@
 	}
 }
 
-// seat puts the ready servers on the ring, each with its points, and takes the others off. Many balancers do
-// so at each step of a release.
+// seat puts the ready servers on the ring, each with its points, and takes the others off.
 func (b *Balancer) seat() {
 	if b.set.Rules.OnlyDrainingBind && !b.anyReady() {
 		return // a list that would empty the ring proves nothing here; lawful leaves out what drains
@@ -279,6 +278,9 @@
 	if chosen == nil && len(r.attempts)+1 < b.set.Limits.MaxAttempts {
 		chosen = passed
 	}
+	if r.deadline < r.aimBy && !r.low { // its client gives less than the aim: that is no sign of a crowd
+		limit = min(r.class.hard, seconds(r.deadline-b.now))
+	}
 	if chosen == nil && bestTime <= limit {
 		chosen = best
 	}
@@ -666,7 +668,7 @@
 		return
 	}
 	// A failure counts as an answer near the aim. Guards against servers that fail quickly and so look idle.
-	b.sample(s, max(seconds(e.Latency), failShare*seconds(r.class.Aim)), int(a.load))
+	b.sample(s, max(seconds(e.Latency), failShare*seconds(min(r.class.Aim, r.deadline-a.noted.At))), int(a.load))
 	b.found(s, a, e, r.class)
 }
 
@@ -870,8 +872,7 @@
 	}
 }
 
-// overQuota tells whether the request is likely beyond its tenant's share: this balancer's part of the quota
-// is its part of all arrivals.
+// overQuota tells whether the request is likely beyond its tenant's share, of which Part is this balancer's.
 func (b *Balancer) overQuota(name string) bool {
 	b.arrived()
 	t := b.tenants[name]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1427,3 +1427,34 @@
 		require.False(t, s.record.IsDown())
 	}
 }
+
+// Guards against refusing callers in a hurry, who give less than the aim, by the rule that keeps crowds out: the
+// quickest server of all has the request where it is likely in time, and none where it is not or is crowded.
+func TestHurriedCallers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		budget  time.Duration
+		latency float64 // of the quickest
+		sent    bool
+	}{
+		{"in time", 55 * ms, 0.04, true},
+		{"hardly in time", 41 * ms, 0.04, true},
+		{"too late", 30 * ms, 0.04, false},
+		{"crowded", 350 * ms, 0.21, false}, // over half of the aim
+	} {
+		b := start(t, settings(), list(5))
+		b.now = 10 * time.Second
+		b.pace.quick = c.latency / 2
+		for _, s := range b.ring.Members() {
+			s.latency, s.latencyAtN, s.sampledAt = 2*c.latency, 1, b.now
+		}
+		b.servers["s3"].latency = c.latency
+		a := find(b.Step(b.now, &Request{ID: 1, Class: "safe", Key: "chair", Budget: c.budget}), Send)
+		require.Equal(t, c.sent, a != nil, c.name)
+		if c.sent {
+			require.Equal(t, "s3", a.Server, c.name)
+			b.Step(b.now+c.budget, &AttemptDone{ID: 1, Server: "s3", Outcome: NoAnswer, Latency: c.budget, Finished: true})
+			require.Less(t, b.servers["s3"].latency, 0.06, "it was not slow, its caller was in a hurry")
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -133,14 +133,14 @@
 
 const (
 	surgeHalf = 250 * time.Millisecond
-	// meanSettles is how long the mean arrivals over all balancers take, from the first request on, till they can
-	// be gone by: they begin at nothing. By too low a total every tenant would look within its share.
+	// meanSettles is how long the mean arrivals over all balancers take, from the first request on, till they
+	// can be gone by: they begin at nothing. By too low a total every tenant would look within its share.
 	meanSettles = 8 * time.Second
 )
 
-// surge is how many requests came in the last moments. Guards against a mean over rounds that takes seconds to
-// follow when clients move here from another balancer: till then their requests would be taken for more than
-// their tenants' shares, though all balancers together get no more than before.
+// surge is how many requests came in the last moments. Guards against a mean over rounds that takes seconds
+// to follow when clients move here from another balancer: till then their requests would be taken for more
+// than their tenants' shares, though all balancers together get no more than before.
 type surge struct {
 	weight float64
 	at     time.Duration
@@ -178,9 +178,9 @@
 	}
 }
 
-// begun takes in that an attempt's answer has begun. Guards against a client that takes a long answer slowly and
-// makes its server look crowded and silent all that time: the work is done, and nobody waits for it. Where a
-// class streams, its server works on until the end.
+// begun takes in that an attempt's answer has begun. Guards against a client that takes a long answer slowly
+// and makes its server look crowded and silent all that time: the work is done, and nobody waits for it.
+// Where a class streams, its server works on until the end.
 func (b *Balancer) begun(r *request, a *attempt) {
 	r.stream, a.server.silentSince = true, b.now
 	if !a.done && !r.class.Stream {
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -62,8 +62,8 @@
 func (b Ban) said() time.Duration { return max(b.Set, b.Lifted) }
 
 // MergeBans is what holds where two processes of one agent were told different things: of each booking server
-// what was said last, and that it is out where both were said at once. By id; at most as many as a List holds,
-// those that are out before the others.
+// what was said last, and that it is out where both were said at once. By id; at most as many as a List
+// holds, those that are out before the others.
 func MergeBans(one, other []Ban) []Ban {
 	latest := map[string]Ban{}
 	for _, b := range slices.Concat(one, other) {
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -31,8 +31,8 @@
 	mostKept = 2048
 	// liftedFor is how long it is known of a ban that it was lifted, longer than any server is cold.
 	liftedFor = time.Hour
-	// lockWait is how long it is waited for the other process's change of the file, and lockEvery how often it is
-	// tried: staff are owed an answer within a second.
+	// lockWait is how long it is waited for the other process's change of the file, and lockEvery how often it
+	// is tried: staff are owed an answer within a second.
 	lockWait, lockEvery = 300 * time.Millisecond, 2 * time.Millisecond
 )
 
@@ -95,10 +95,10 @@
 	return filepath.Join(folder, fmt.Sprintf("dunestep-%016x.%s", sum.Sum64(), kind))
 }
 
-// Update merges what was set into the file, which is replaced as a whole, and returns what holds then; it lies on
-// the disk when Update returns. Guards against two processes of the agent that are told different things at the
-// same time: without a lock the later one's file would lack what the other was told. A file that can't be read
-// is replaced.
+// Update merges what was set into the file, which is replaced as a whole, and returns what holds then; it
+// lies on the disk when Update returns. Guards against two processes of the agent that are told different
+// things at the same time: without a lock the later one's file would lack what the other was told. A file
+// that can't be read is replaced.
 func (b *Bans) Update(h Hand, now time.Duration) (Hand, error) {
 	unlock := b.lock()
 	defer unlock()
--- a/internal/handover/meeting.go
+++ b/internal/handover/meeting.go
@@ -62,8 +62,8 @@
 	kept []Note     // until then
 }
 
-// Tell sends a note; one that can't be sent ends the meeting. Guards against a note that comes before the offer
-// and would be taken for it: it waits for the offer.
+// Tell sends a note; one that can't be sent ends the meeting. Guards against a note that comes before the
+// offer and would be taken for it: it waits for the offer.
 func (p *Peer) Tell(n Note) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/rehearsal/world/byhand.go
+++ b/internal/rehearsal/world/byhand.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// sendAway has an agent that runs send its clients away: answers close their connections, and those that stand
-// idle are closed in a while. It goes on, and serves who comes all the same.
+// sendAway has an agent that runs send its clients away: answers close their connections, and those that
+// stand idle are closed in a while. It goes on, and serves who comes all the same.
 func (a *agent) sendAway() {
 	l := a.life
 	if l == nil || l.remote || l.away {
@@ -101,11 +101,13 @@
 
 // upgrades tells whether the day has any.
 func (w *world) upgrades() bool {
-	return slices.ContainsFunc(w.set.Troubles, func(t scenario.Trouble) bool { return t.Kind == scenario.Upgraded })
+	return slices.ContainsFunc(w.set.Troubles, func(t scenario.Trouble) bool {
+		return t.Kind == scenario.Upgraded
+	})
 }
 
-// upgrade has a new run of an agent's program take over from one that serves, with what that one has learned and
-// what staff have set. The old one takes no new connection, and ends in order.
+// upgrade has a new run of an agent's program take over from one that serves, with what that one has learned
+// and what staff have set. The old one takes no new connection, and ends in order.
 func (a *agent) upgrade() {
 	old := a.life
 	if old == nil || old.remote || old.end.told {
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -114,8 +114,8 @@
 	return until, c.framing.framed
 }
 
-// hold tells that nothing is read for now, or that it goes on. Guards against giving up a request that does not
-// get on because this side does not take it.
+// hold tells that nothing is read for now, or that it goes on. Guards against giving up a request that does
+// not get on because this side does not take it.
 func (c *frontConn) hold(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -256,7 +256,8 @@
 		rank = 0
 	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
 		rank = 1
-	case c.state == connReading && !c.held && age >= stuckBefore && (!c.inBody || now.Sub(c.came) >= stuckBefore):
+	case c.state == connReading && !c.held && age >= stuckBefore &&
+		(!c.inBody || now.Sub(c.came) >= stuckBefore):
 		rank = 2
 	case c.state == connIdle && age >= silentBefore: // a request that crosses the close is sent again
 		rank = 3
--- a/storm/gate.go
+++ b/storm/gate.go
@@ -428,8 +428,8 @@
 	return &g.end
 }
 
-// begun takes in that an answer has begun: where its class does not stream, its server's work is done, however
-// slowly the client takes it.
+// begun takes in that an answer has begun: where its class does not stream, its server's work is done,
+// however slowly the client takes it.
 func (g *Gate) begun(r *request, a *attempt) {
 	if !a.done && !r.streams {
 		g.noLonger(a)
