--- a/cmd/dunestep/upgrade_test.go
+++ b/cmd/dunestep/upgrade_test.go
@@ -467,6 +467,7 @@
 	}
 	heard("alone")
 	failed := w.upgrade()
+	w.until("the new one speaks", func() bool { return strings.Contains(w.log.String(), "the new process takes clients") })
 	_ = failed.process.Process.Kill()
 	await(t, failed.exited)
 	w.until("it goes on", func() bool { return strings.Contains(w.log.String(), "this one goes on") })
--- a/decide/state.go
+++ b/decide/state.go
@@ -152,6 +152,9 @@
 }
 
 func (s *surge) fade(now time.Duration) {
+	if now == s.at {
+		return // asked several times for each request
+	}
 	s.weight *= math.Exp2(-float64(now-s.at) / float64(surgeHalf))
 	s.at = now
 }
--- a/internal/core/bans_test.go
+++ b/internal/core/bans_test.go
@@ -183,3 +183,16 @@
 		})
 	})
 }
+
+// What another process tells is bounded too, whatever it tells, and what the bound drops is passed on as it is now.
+func TestJoinedBansAreBounded(t *testing.T) {
+	l := NewList(here, protocol.PoolConfig{}, nil)
+	for i := 4; i > 0; i-- { // those that come later stand first by their ids
+		var told []Ban
+		for n := range mostBans {
+			told = append(told, Ban{ID: fmt.Sprintf("%d-%04d", i, n), Set: 1})
+		}
+		l.JoinBans(told)
+		require.Len(t, l.Bans(), mostBans)
+	}
+}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -157,14 +157,20 @@
 	return l.out, true
 }
 
-// JoinBans takes in what another process of this agent was told.
+// JoinBans takes in what another process of this agent was told, as far as the bound on bans allows.
 func (l *List) JoinBans(bans []Ban) []ListOutput {
 	l.out = l.out[:0]
-	for _, b := range MergeBans(l.Bans(), bans) {
-		if l.bans[b.ID] != b {
-			l.bans[b.ID] = b
-			l.see(b.ID)
-			l.renew(b.ID)
+	before := l.bans
+	l.bans = make(map[string]Ban, len(before))
+	for _, b := range MergeBans(slices.Collect(maps.Values(before)), bans) {
+		l.bans[b.ID] = b
+		l.see(b.ID)
+	}
+	changed := maps.Clone(l.bans)
+	maps.Copy(changed, before)
+	for _, id := range sorted(changed) {
+		if l.bans[id] != before[id] {
+			l.renew(id)
 		}
 	}
 	return l.out
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// Guards against a client's time that begins anew after a wait for memory on this side: it runs from the last byte that
+// came.
+func TestWaitForMemoryIsTheClientsTime(t *testing.T) {
+	came := time.Now().Add(-time.Second)
+	c := &frontConn{state: connReading, since: came, came: came, inBody: true}
+	c.hold(true)
+	require.False(t, c.stuck(time.Now().Add(time.Minute)), "it is this side that waits")
+	c.hold(false)
+	require.False(t, c.stuck(time.Now()))
+	require.True(t, c.stuck(time.Now().Add(stuckBefore)))
+	require.Equal(t, came, c.taken())
+}
+
 // Guards against a body that waits for memory on this side and is given up as one that does not get on, where
 // descriptors are short: its client sends all that it is asked for.
 func TestBodyThatWaitsForMemoryIsNotGivenUp(t *testing.T) {
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -55,6 +55,7 @@
 	inBody  bool      // of connReading: the head has come
 	came    time.Time // the latest bytes
 	held    bool      // nothing is read: the request waits for memory on this side
+	resumed time.Time // since when it is read again
 	gentle  bool      // to be ended unless something has come
 	linger  bool      // an error was answered while the client may still be sending
 	framing framing
@@ -115,11 +116,22 @@
 }
 
 // hold tells that nothing is read for now, or that it goes on. Guards against giving up a request that does
-// not get on because this side does not take it.
+// not get on because this side does not take it. When the last bytes came is as before: the client's time
+// runs from there.
 func (c *frontConn) hold(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held, c.came = on, time.Now()
+	if c.held = on; !on {
+		c.resumed = time.Now()
+	}
+}
+
+// stuck tells whether a request has begun and does not get on, through its client's fault; mu is held.
+func (c *frontConn) stuck(now time.Time) bool {
+	if c.state != connReading || c.held || now.Sub(c.since) < stuckBefore {
+		return false
+	}
+	return !c.inBody || now.Sub(c.came) >= stuckBefore && now.Sub(c.resumed) >= stuckBefore
 }
 
 // began is when the present request began to come.
@@ -256,8 +268,7 @@
 		rank = 0
 	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
 		rank = 1
-	case c.state == connReading && !c.held && age >= stuckBefore &&
-		(!c.inBody || now.Sub(c.came) >= stuckBefore):
+	case c.stuck(now):
 		rank = 2
 	case c.state == connIdle && age >= silentBefore: // a request that crosses the close is sent again
 		rank = 3
