Sparse fleets: a server gets its part of an agent's time in flight, over many requests

Cause: the bounded load goes by own requests in flight. Change: package ledger. Every server has an account, charged by how long each request was in flight in usual times and credited its part of all that is charged.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,8 +27,7 @@
 	holdDown     = 20 * time.Second
 	fanout       = 2 // k: peers asked before a server is damped, and told each round
 
-	floorShare = 0.5  // of contradictions: when more of the probes than this lie, they are not heeded
-	trialShare = 0.05 // of what a server's mean is: the trials that a down one gets
+	floorShare = 0.5 // of contradictions: when more of the probes than this lie, they are not heeded
 
 	softShare    = 0.35 // of the aim: below this expected time an owner keeps its keys
 	homeShare    = 0.12 // of the aim: below this expected time the owner in the own zone is quick enough
@@ -45,6 +44,7 @@
 	surgeRoots   = 2.0  // in flight at a server: the usual mean and this many roots of it
 	typicalGain  = 0.1
 	typicalStart = 8.0 // of all balancers together, until this one has its own usual count
+	sparseShare  = 0.5 // of a request: less than this of what a busy server has in flight is a sparse one's
 	carriedUp    = 0.5 // gain of what is sent in a round, where it is more than before
 	carriedDown  = 0.02
 	idleShare    = 0.1
@@ -198,7 +198,7 @@
 	if e.Started != s.Started || s.place == nil { // restarted or new: what was known of it is of another process
 		s.latency, s.latencyAtN = 0, 0
 		b.detector.Restarted(s.record)
-		b.startCold(s)
+		s.cold.Begin(b.now, b.rng.Float64())
 	}
 	s.Server, s.pace = *e, b.kind(e.Kind)
 	s.drained = e.State == Draining || s.drained && e.State == Gone
@@ -214,9 +214,9 @@
 			hash = other
 		}
 	}
-	var best, mute, passed, later *server
+	var best, mute, passed, later, owing *server
 	r.trial = nil
-	bestTime, looked, limit := math.Inf(1), 0, b.hardTime(r)
+	bestTime, looked, limit, sparse, owes := math.Inf(1), 0, b.hardTime(r), b.sparse(), 0.0
 	// Where crossing zones is priced above a request's whole work (what waste costs), its zone's own owner keeps
 	// a key while quick: affinity saves less than a crossing costs. Of the owners asked, two are of it.
 	if b.set.Prices.CrossZone > b.set.Prices.Waste && (r.asks < 2 || !b.thin()) {
@@ -260,8 +260,13 @@
 			return true
 		}
 		if fits && (try || !b.crowded(r, s, t, limit)) {
-			chosen = s
-			return false
+			if !sparse || try || b.even(s) >= 1 {
+				chosen = s
+				return false
+			} else if even := b.even(s) / b.size(s); owing == nil || even > owes {
+				owing, owes = s, even
+			}
+			return true
 		}
 		if mute == nil && math.IsInf(t, 1) && s.probeSays != TurnedAway {
 			mute = s
@@ -274,6 +279,7 @@
 		}
 		return looked < spillSpan || bestTime > limit
 	})
+	chosen = cmp.Or(chosen, owing) // all have had their part: the one that is least over it
 	// One that likely turns the request away costs little as long as a further attempt is left.
 	if chosen == nil && len(r.attempts)+1 < b.set.Limits.MaxAttempts {
 		chosen = passed
@@ -318,7 +324,7 @@
 	return s.Weight
 }
 
-// measure finds the quickest kind of machine, and the largest size among the members.
+// measure finds the quickest kind of machine, the largest size among the members, and the sum of those up.
 func (b *Balancer) measure() {
 	b.quickest = 0
 	for _, k := range b.kinds {
@@ -326,9 +332,12 @@
 			b.quickest = k.quick
 		}
 	}
-	b.largest = 0
+	b.largest, b.sizes = 0, 0
 	for _, s := range b.ring.Members() {
 		b.largest = max(b.largest, b.size(s))
+		if !s.record.IsDown() && b.now >= s.dampedUntil {
+			b.sizes += b.size(s)
+		}
 	}
 }
 
@@ -408,6 +417,19 @@
 	return s.heldAt > 0 && b.now-s.heldAt < b.staleHalf && b.thin()
 }
 
+// sparse tells whether this balancer is one of so many, and thin, that what it has in flight at a server says
+// nothing of how busy that is: with few balancers the bounded load by own requests in flight is enough.
+func (b *Balancer) sparse() bool {
+	return typicalStart < sparseShare*float64(b.set.Balancers) && b.thin()
+}
+
+// even is what a server has left of its part of this balancer's requests: the bounded load over a longer time,
+// for a sparse one, which has nothing in flight at most servers whenever it looks.
+func (b *Balancer) even(s *server) float64 {
+	b.book.Open(&s.account, b.rng.Float64())
+	return b.book.Credit(&s.account, b.size(s)/max(b.sizes, 1e-9))
+}
+
 // crowded tells whether an owner passes the request on: over the bounded load while no longer quick (below
 // the soft time affinity saves more than a spill), or too slow for the request's aim.
 func (b *Balancer) crowded(r *request, s *server, t, limit float64) bool {
@@ -545,7 +567,8 @@
 	}
 	b.waits(&r.attempts[len(r.attempts)-1], 1)
 	b.sentRound += r.units
-	s.coldTokens -= r.units
+	s.cold.Spend(r.units)
+	b.book.Sent(&s.account, r.units)
 	b.act(Action{Kind: Send, ID: r.id, Server: s.ID, After: limit})
 }
 
@@ -643,6 +666,11 @@
 		b.found(s, a, e, r.class)
 		return
 	}
+	took := seconds(e.Latency)
+	if e.Outcome != Served && e.Outcome != NoAnswer {
+		took = max(took, failShare*seconds(r.class.Aim))
+	}
+	b.book.Ended(&s.account, took)
 	switch e.Outcome {
 	case Served:
 		b.failing -= failGain * b.failing
@@ -696,7 +724,7 @@
 		}
 		b.log("up %s: %s", s.ID, s.record.Because())
 	}
-	b.startCold(s)
+	s.cold.Begin(b.now, b.rng.Float64())
 	b.doubted()
 }
 
@@ -813,40 +841,15 @@
 
 // warmth is the share of its capacity that a server surely has: by its listed start, or by its return after
 // no connection came up, since a process that was gone likely comes back cold whatever the list says.
-func (b *Balancer) warmth(s *server) float64 {
-	since := max(s.backAt, s.Started)
-	age := b.now - since
-	if since == 0 || age >= b.set.Rules.ColdFor {
-		return 1
-	}
-	from := b.set.Rules.ColdShare
-	return from + (1-from)*max(float64(age)/float64(b.set.Rules.ColdFor), 0)
-}
+func (b *Balancer) warmth(s *server) float64 { return b.cold.Warmth(b.now, max(s.backAt, s.Started)) }
 
-// startCold begins a server's cold budget with a random part of one request: of many balancers that each
-// hold far less than a request a second for it, as many send at once as their parts add up to.
-func (b *Balancer) startCold(s *server) { s.coldTokens, s.coldAt = b.rng.Float64(), b.now }
-
-// coldRoom keeps this balancer's part of a cold server's budget: what it sends a warm one, scaled by warmth
-// and held well under the fall multiple, so that all together stay under it. A down server's trials come
-// from the same budget at a lower rate: neither grows with the number of balancers.
+// coldRoom keeps to this balancer's part of a cold server's budget, out of which a down one's trials come too.
 func (b *Balancer) coldRoom(s *server, trial bool) bool {
-	w := b.warmth(s)
-	if w >= 1 && !trial {
-		return true
-	}
-	mean := b.rate / b.ringSize()
-	fill := min(b.fig.ColdMargin*b.set.Rules.FallMultiple*w, b.fig.ColdMost) * mean
-	if trial { // at least one in two seconds from all balancers together, or a quiet fleet would never know
-		fill = max(min(fill, trialShare*mean), 0.5/float64(b.set.Balancers))
-	}
+	w, size := b.warmth(s), 1.0
 	if b.largest > 0 {
-		fill *= min(s.Weight/b.largest, 1)
+		size = s.Weight / b.largest
 	}
-	most := max(1, fill*seconds(b.set.Rules.FallWindow)/6)
-	s.coldTokens = min(s.coldTokens+fill*seconds(b.now-s.coldAt), most)
-	s.coldAt = b.now
-	return s.coldTokens >= 1
+	return w >= 1 && !trial || s.cold.Room(&b.cold, b.now, w, b.rate/b.ringSize(), size, trial)
 }
 
 // rankClasses sets how long an expected time each class accepts. All wait in the same queues, so the one that
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -505,7 +505,8 @@
 	if a := mustSend(t, b.Step(now, &Request{ID: 90, Class: "safe", Key: "k", Budget: time.Second})); a.Server == s.ID {
 		t.Fatal("a down server gets an ordinary request")
 	}
-	b.rate, s.coldTokens = 10, 1
+	b.rate = 10
+	s.cold.Begin(b.now, 1)
 	trial := mustSend(t, b.Step(now, &Request{ID: 91, Class: "safe", Key: "k", Budget: time.Second}))
 	if trial.Server != s.ID {
 		t.Fatalf("no trial; sent to %s", trial.Server)
@@ -543,7 +544,8 @@
 	b := start(t, set, list(6))
 	s := b.ring.Owner(ring.Hash("k"))
 	b.turn(s, true)
-	b.rate, s.coldTokens = 10, 1
+	b.rate = 10
+	s.cold.Begin(b.now, 1)
 	acts := b.Step(time.Second, &Request{ID: 1, Class: "safe", Key: "k", Budget: time.Second})
 	var sent []string
 	for _, a := range acts {
@@ -1003,7 +1005,7 @@
 	}{
 		{"cold", false, false, 3 * 0.4 * 0.625},
 		{"cold newcomer", false, true, 3 * 0.4 * 0.625},
-		{"down", true, false, 2 * trialShare},
+		{"down", true, false, 2 * 0.05},
 	} {
 		const balancers, rate = 400, 0.5 // requests a second of each, over four servers: 50 a second for each server
 		sent := 0
@@ -1032,7 +1034,7 @@
 			for at := range 30 { // three seconds, far more asked for than is due
 				b.now = time.Minute + time.Duration(at)*100*ms
 				if b.coldRoom(s, c.down) {
-					s.coldTokens--
+					s.cold.Spend(1)
 					sent++
 				}
 			}
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -253,7 +253,7 @@
 	}
 	b.detector.Recall(b.now, s.record, known, age)
 	if s.downThen = s.record.IsDown(); s.downThen {
-		s.coldTokens, s.coldAt = 1, b.now // the first trial comes at once: it may be well by now
+		s.cold.Begin(b.now, 1) // the first trial comes at once: it may be well by now
 	}
 	if m.BackAgo > 0 {
 		s.backAt = max(b.now-span(m.BackAgo)-age, 1)
@@ -269,7 +269,7 @@
 	b.detector.Forget(s.record)
 	s.record, s.downThen = b.detector.Join(), false
 	s.latency, s.latencyAtN, s.penalty, s.dampedUntil, s.backAt, s.held, s.heldAt = 0, 0, 0, 0, 0, 0, 0
-	b.startCold(s)
+	s.cold.Begin(b.now, b.rng.Float64())
 	b.placeAll()
 }
 
--- /dev/null
+++ b/decide/sparse_test.go
@@ -0,0 +1,53 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sparseFleet plays so many balancers of a few requests a second at once, each with a key of its own or, one
+// time in so many, the popular one. It returns what each server was sent.
+func sparseFleet(t *testing.T, balancers, servers, popular int) map[string]int {
+	t.Helper()
+	set := settings()
+	set.Balancers = balancers
+	set.Classes[0].Effect = Safe
+	sent, rng := map[string]int{}, rand.New(rand.NewPCG(1, 2))
+	for n := range balancers {
+		set.Self = n
+		b, err := New(set, uint64(n))
+		require.NoError(t, err)
+		b.Step(0, &Membership{Kind: SyncFull, Servers: list(servers)})
+		for i := range 200 {
+			now := time.Duration(i) * 100 * ms
+			b.Step(now, &TimerDue{Tag: tagRound})
+			key := string(rune('a'+rng.IntN(26))) + string(rune('a'+rng.IntN(26)))
+			if rng.IntN(popular) == 0 {
+				key = "popular"
+			}
+			id := uint32(i + 1)
+			a := find(b.Step(now, &Request{ID: id, Key: key, Class: set.Classes[0].Name, Budget: time.Second}), Send)
+			if a == nil {
+				continue
+			}
+			sent[a.Server]++
+			b.Step(now+50*ms, &AttemptDone{ID: id, Server: a.Server, Outcome: Served, Latency: 50 * ms,
+				Finished: true})
+		}
+	}
+	return sent
+}
+
+// With very many balancers of few requests each, a key that a third of them is about does not drown its
+// owner, though none of them ever has more than one request in flight there: they had all of it at the
+// owner before.
+func TestPopularKeyOfManySparseBalancers(t *testing.T) {
+	sent := sparseFleet(t, 60, 40, 3)
+	for id, n := range sent {
+		require.LessOrEqual(t, n, 60*200/40*3/2, id)
+	}
+	require.Len(t, sent, 40)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -11,7 +11,9 @@
 	"slices"
 	"time"
 
+	"dunestep/cold"
 	"dunestep/health"
+	"dunestep/ledger"
 	"dunestep/proving"
 	"dunestep/ring"
 )
@@ -33,6 +35,8 @@
 	byHash    map[uint32]*server
 	ring      *ring.Ring[*server] // its members are the ready servers: see seat
 	hardShare float64             // of the aim: see rankClasses
+	cold      cold.Terms
+	book      ledger.Book
 	detector  *health.Detector
 	doubts    string // as last logged
 	inFlight  int
@@ -59,7 +63,7 @@
 	latency                      float64          // mean over all servers, seconds
 	failing                      float64          // part of the latest attempts that failed
 	pace                         pace             // of all answers
-	quickest, largest            float64          // the least quick time of a kind; the largest size of a member
+	quickest, largest, sizes     float64          // the least quick time of a kind; members' largest size, their sum
 	meanWork                     float64          // mean of the hints
 	rate, sentRound              float64          // work units sent a second, and in this round
 	typical, area                float64          // usual mean in flight at a server; time in flight of a round
@@ -81,6 +85,8 @@
 		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{},
 		kinds: map[string]*pace{}, typical: typicalStart / float64(set.Balancers),
 		tokens: set.Figures.RetryReserve, spares: set.Figures.SpareReserve}
+	b.cold = cold.Terms{Share: set.Rules.ColdShare, For: set.Rules.ColdFor, FallMultiple: set.Rules.FallMultiple,
+		FallWindow: set.Rules.FallWindow, Margin: b.fig.ColdMargin, Most: b.fig.ColdMost, Balancers: set.Balancers}
 	shortest := set.Classes[0].Aim
 	for i, c := range set.Classes {
 		b.classes[c.Name] = &class{Class: c, lane: i}
@@ -353,8 +359,8 @@
 	dampedUntil   time.Duration
 	asked         time.Duration // damp-req sent
 
-	coldTokens float64
-	coldAt     time.Duration
+	cold    cold.Budget
+	account ledger.Account
 
 	proof *proving.Server // nil: needs none
 }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever is asked for, in whatever order and however long it takes, a server that is only sent what its
+// account has room for is never charged more than its part, with a little over, and what may be saved up.
+func TestChargedNoMoreThanItsPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.Float64Range(0.01, 1), 2, 20).Draw(t, "sizes")
+		sum := 0.0
+		for _, p := range parts {
+			sum += p
+		}
+		var book Book
+		accounts, sent := make([]Account, len(parts)), make([]float64, len(parts))
+		for i := range accounts {
+			book.Open(&accounts[i], rapid.Float64Range(0, 1).Draw(t, "lot"))
+		}
+		forced := make([]float64, len(parts))
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			at, looked := rapid.IntRange(0, len(parts)-1).Draw(t, "owner"), 0
+			for ; book.Credit(&accounts[at], parts[at]/sum) < 1 && looked < len(parts); looked++ {
+				at = (at + 1) % len(parts) // on to the next owner
+			}
+			if looked == len(parts) {
+				forced[at]++ // as at the beginning, when no account has a whole request
+			}
+			book.Sent(&accounts[at], 1)
+			sent[at]++
+		}
+		total := 0.0
+		for _, n := range sent {
+			total += n
+		}
+		for i, n := range sent {
+			require.LessOrEqual(t, n, over*parts[i]/sum*total+most+forced[i]+1e-9)
+		}
+	})
+}
+
+// A server that takes three times as long gets a third as often what would all go to it; one whose requests
+// time out gets less still. Guards against balancers that each see a slow server too seldom to leave it.
+func TestSlowServersGetLess(t *testing.T) {
+	for _, c := range []struct{ took, least, most float64 }{{1, 1, 1}, {3, 0.28, 0.55}, {8, 0.1, 0.25}} {
+		var book Book
+		accounts, sent := make([]Account, 10), make([]int, 10)
+		for range 20000 {
+			at := 0
+			for i := range accounts {
+				book.Open(&accounts[i], 1)
+				if book.Credit(&accounts[i], 0.1) >= 1 {
+					at = i
+					break
+				}
+			}
+			book.Sent(&accounts[at], 1)
+			sent[at]++
+			took := 0.1
+			if at == 0 {
+				took *= c.took
+			}
+			book.Ended(&accounts[at], took)
+		}
+		share := float64(sent[0]) / float64(sent[1])
+		require.True(t, share >= c.least-0.02 && share <= c.most+0.02, "%v times as long: %v", c.took, share)
+	}
+}
+
+// What can't be counted with changes nothing, and neither debts nor savings grow without bound.
+func TestBooksStayBounded(t *testing.T) {
+	var book Book
+	var a Account
+	book.Open(&a, 0.5)
+	for _, took := range []float64{0, -1, math.NaN()} {
+		book.Ended(&a, took)
+	}
+	require.InDelta(t, 0.75, book.Credit(&a, 1), 1e-9)
+	for range 1000 {
+		book.Ended(&a, 1e9)
+		book.Ended(&a, 1e-9)
+		book.Sent(&a, 5)
+	}
+	require.GreaterOrEqual(t, book.Credit(&a, 0), least)
+	var other Account
+	book.Sent(&other, 1e6)
+	require.LessOrEqual(t, book.Credit(&a, 1), most)
+	opened := a
+	book.Open(&a, 1)
+	require.Equal(t, opened, a, "an account is opened once")
+}
