--- a/cold/cold.go
+++ b/cold/cold.go
@@ -43,8 +43,9 @@
 	return t.Share + (1-t.Share)*max(float64(age)/float64(t.For), 0)
 }
 
-// fill is how much a server gets, in work units a second: what a warm one gets, scaled by warmth and held well
-// under the multiple. A down server's trials come at a lower rate; neither grows with the number of balancers.
+// fill is how much a server gets, in work units a second: what a warm one gets, scaled by warmth and held
+// well under the multiple. A down server's trials come at a lower rate; neither grows with the number of
+// balancers.
 func (t *Terms) fill(warmth, mean float64, trial bool) float64 {
 	fill := min(t.Margin*t.FallMultiple*warmth, t.Most) * mean
 	if trial {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -423,8 +423,8 @@
 	return typicalStart < sparseShare*float64(b.set.Balancers) && b.thin()
 }
 
-// even is what a server has left of its part of this balancer's requests: the bounded load over a longer time,
-// for a sparse one, which has nothing in flight at most servers whenever it looks.
+// even is what a server has left of its part of this balancer's requests: the bounded load over a longer
+// time, for a sparse one, which has nothing in flight at most servers whenever it looks.
 func (b *Balancer) even(s *server) float64 {
 	b.book.Open(&s.account, b.rng.Float64())
 	return b.book.Credit(&s.account, b.size(s)/max(b.sizes, 1e-9))
@@ -666,11 +666,7 @@
 		b.found(s, a, e, r.class)
 		return
 	}
-	took := seconds(e.Latency)
-	if e.Outcome != Served && e.Outcome != NoAnswer {
-		took = max(took, failShare*seconds(r.class.Aim))
-	}
-	b.book.Ended(&s.account, took)
+	b.charge(r, s, e)
 	switch e.Outcome {
 	case Served:
 		b.failing -= failGain * b.failing
@@ -843,7 +839,7 @@
 // no connection came up, since a process that was gone likely comes back cold whatever the list says.
 func (b *Balancer) warmth(s *server) float64 { return b.cold.Warmth(b.now, max(s.backAt, s.Started)) }
 
-// coldRoom keeps to this balancer's part of a cold server's budget, out of which a down one's trials come too.
+// coldRoom keeps to this balancer's part of a cold server's budget, of which a down one's trials come too.
 func (b *Balancer) coldRoom(s *server, trial bool) bool {
 	w, size := b.warmth(s), 1.0
 	if b.largest > 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -63,7 +63,7 @@
 	latency                      float64          // mean over all servers, seconds
 	failing                      float64          // part of the latest attempts that failed
 	pace                         pace             // of all answers
-	quickest, largest, sizes     float64          // the least quick time of a kind; members' largest size, their sum
+	quickest, largest, sizes     float64          // least quick time of a kind; members' largest size, and sum
 	meanWork                     float64          // mean of the hints
 	rate, sentRound              float64          // work units sent a second, and in this round
 	typical, area                float64          // usual mean in flight at a server; time in flight of a round
@@ -266,6 +266,16 @@
 	b.latency += latencyGain / b.ringSize() * (t - b.latency)
 }
 
+// charge books what an attempt took at its server. What failed counts as an answer near the aim, or a server
+// that fails quickly would look idle.
+func (b *Balancer) charge(r *request, s *server, e *AttemptDone) {
+	took := seconds(e.Latency)
+	if e.Outcome != Served && e.Outcome != NoAnswer {
+		took = max(took, failShare*seconds(r.class.Aim))
+	}
+	b.book.Ended(&s.account, took)
+}
+
 func (b *Balancer) probe(s *server) {
 	s.probeOut, s.probedAt = true, b.now
 	b.act(Action{Kind: Probe, Server: s.ID})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,8 +12,8 @@
 // Credit comes with what is sent, not with the time: books need no rate, follow a burst at once, and rest
 // where nothing is sent.
 //
-// It does no input or output, and knows no clock. The same calls give the same answers. A Book is not safe for
-// concurrent use.
+// It does no input or output, and knows no clock. The same calls give the same answers. A Book is not safe
+// for concurrent use.
 package ledger
 
 const (
