Front socket: a long answer is not cut off as the end of its request's body comes

Where the body's last byte was read in that moment net/http has begun its background read, which takes the deadline for a client that has left: it cancels the request's context, and pass cuts the flow (front.go). Ruled out: the agent's limits on slow bodies and memory (no such lines at debug), the stand-in (it writes all of it). Change: the connection knows that a body was to be cut (cutBody) and, by its framing, that it has come whole: a read whose time is up for that alone goes on without one, until the answer is written.

--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -230,6 +230,7 @@
 	op.Sent = time.Now()
 	up := startUpload(op, body, grant, conn, counted, failed)
 	answer, owed := f.operator.Operate(ctx, op)
+	defer conn.restore()
 	whole, err := up.stop()
 	if whole {
 		_ = body.control.SetReadDeadline(time.Time{})
--- a/internal/transport/front_test.go
+++ b/internal/transport/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -199,3 +200,43 @@
 	}
 	require.Eventually(t, func() bool { return bodies.Memory.Used() == 0 }, 15*time.Second, time.Millisecond)
 }
+
+// A body's end and the cut of its reading may meet. What has come whole is not ended by it: its connection reads
+// on, for the library to notice a client that leaves. What has not come whole ends at once.
+func TestCutMeetsTheEndOfABody(t *testing.T) {
+	for _, sent := range []string{"hello", "hell"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		client, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer client.Close()
+		inner, err := l.Accept()
+		require.NoError(t, err)
+		c := &frontConn{Conn: inner}
+		defer inner.Close()
+		text := "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n" + sent
+		_, err = io.WriteString(client, text)
+		require.NoError(t, err)
+		_, err = io.ReadFull(c, make([]byte, len(text)))
+		require.NoError(t, err)
+		c.cutBody()
+		if sent != "hello" {
+			_, err = c.Read(make([]byte, 9))
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			continue
+		}
+		next := make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(c, make([]byte, 3))
+			next <- err
+		}()
+		_, err = io.WriteString(client, "GET")
+		require.NoError(t, err)
+		require.NoError(t, <-next)
+		c.restore() // from then on a read's time is up when it is
+		require.NoError(t, inner.SetReadDeadline(time.Now()))
+		_, err = c.Read(make([]byte, 9))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -57,6 +57,7 @@
 	held    bool      // nothing is read: the request waits for memory on this side
 	resumed time.Time // since when it is read again
 	gentle  bool      // to be ended unless something has come
+	cut     bool      // what is left of the present body was to be waited for no more
 	linger  bool      // an error was answered while the client may still be sending
 	framing framing
 	// standing looks whether the connection has stood idle for long enough to be closed. It runs on while a
@@ -68,7 +69,7 @@
 // request that crossed the close was never read, and its client sends it again.
 func (c *frontConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.endsGently() {
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.cutInVain() || !c.endsGently()) {
 		n, err = c.Conn.Read(b)
 	}
 	if n == 0 {
@@ -141,6 +142,33 @@
 	return c.since
 }
 
+// cutBody has nobody wait for what is left of a body, until restore.
+func (c *frontConn) cutBody() {
+	c.mu.Lock()
+	c.cut = true
+	c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// restore tells that the answer was written. From then on a read's time is the library's matter again.
+func (c *frontConn) restore() {
+	c.mu.Lock()
+	c.cut = false
+	c.mu.Unlock()
+}
+
+// cutInVain tells, where a Read's time is up, whether that was meant for a body that has come whole since.
+// Guards against a long answer that is cut off by the end of its request's body: once that is read the
+// library reads on, to notice a client that leaves, and takes this Read's time for one that has.
+func (c *frontConn) cutInVain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.cut || c.gentle || c.framing.framed != framedByLength || c.framing.body > 0 {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // taken tells that a request came whole, and when its last bytes came: from then on its client counts its
 // time.
 func (c *frontConn) taken() (began time.Time) {
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -132,7 +132,7 @@
 	u.cut = true
 	u.mu.Unlock()
 	u.rest.Cut(flow.ErrLeft)
-	_ = u.body.control.SetReadDeadline(time.Now())
+	u.conn.cutBody()
 	<-u.done
 	return u.came, u.err
 }
