Sparse fleets: an agent goes by a kind of machine's pace after 12 answers instead of 50

Cause: an agent of 15 requests a second has 50 answers of each kind of machine only after some 7 s; till then the ledger's parts take a slow machine for as able as one twice as quick. Ruled out: for agents of small fleets nothing changes (12 holds where the agent is sparse only).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -52,7 +52,6 @@
 	leastBucket  = 3.0  // requests: a small balancer meets a tenant now and then, not evenly
 	latencyGain  = 0.15 // weight of a new sample of latency
 	quickStep    = 0.01
-	kindAnswers  = 50   // before a kind of machine is taken for the quickest
 	leastSpeed   = 0.25 // of the quickest kind's
 	staleAims    = 4.0  // longest aims: after which what was seen has faded by half
 	staleMost    = 2 * time.Second
@@ -328,7 +327,7 @@
 func (b *Balancer) measure() {
 	b.quickest = 0
 	for _, k := range b.kinds {
-		if k.answers >= kindAnswers && (b.quickest == 0 || k.quick < b.quickest) {
+		if k.known(b.sparse()) && (b.quickest == 0 || k.quick < b.quickest) {
 			b.quickest = k.quick
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -321,6 +321,18 @@
 	}
 }
 
+// A kind's pace is gone by after so many answers. A sparse balancer, which would need 7 s and more for as
+// many as the others wait for, goes by its first ones: they tell a machine twice as quick well enough.
+const (
+	kindAnswers       = 50
+	sparseKindAnswers = 12
+)
+
+// known tells whether enough answers came.
+func (p *pace) known(sparse bool) bool {
+	return p.answers >= kindAnswers || sparse && p.answers >= sparseKindAnswers
+}
+
 // kind is the pace of a kind of machine.
 func (b *Balancer) kind(name string) *pace {
 	k := b.kinds[name]
