--- a/cmd/rehearse/hunt.go
+++ b/cmd/rehearse/hunt.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"text/tabwriter"
 
@@ -41,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	makeRoom(runtime.GOMAXPROCS(0), set)
 	if c.Out != "" { // before the hunt: it would be in vain otherwise
 		if err := os.MkdirAll(c.Out, 0o755); err != nil {
 			return err
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -11,7 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"runtime/debug"
+	"runtime"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -44,6 +44,8 @@
 	Break   breakCommand   `cmd:"" help:"Find the highest load that keeps the rules and the scenario's floor."`
 	Bench   benchCommand   `cmd:"" help:"Measure an agent's own cost beside a reverse proxy's."`
 	Part    partCommand    `cmd:"" hidden:""`
+	Gate    gateCommand    `cmd:"" help:"Play days, and pass or fail them together, with rule and day."`
+	Soak    soakCommand    `cmd:"" help:"Play a long day and look whether the agents' memory grows."`
 	Hunt    huntCommand    `cmd:"" help:"Play many seeds on all cores and rank the days, the worst first."`
 	Shrink  shrinkCommand  `cmd:"" help:"Shrink a bad day to the smallest that is still as bad."`
 	List    listCommand    `cmd:"" help:"List the scenarios at hand, and the protections that can be taken out."`
@@ -56,13 +58,8 @@
 	stderr io.Writer
 }
 
-// memoryLimit is where the collector begins to work harder: without it a wide day grows past what it holds.
-const memoryLimit = 200 << 20
-
 func main() {
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
-	}
+	makeRoom(0)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(run(desk{ctx, os.Stdout, os.Stderr}, os.Args[1:]))
@@ -137,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	makeRoom(1, set)
 	p := d.progress()
 	r, err := rehearsal.Play(d.ctx, set, rehearsal.Options{Seed: set.Seed, Without: c.Without,
 		Progress: func(at time.Duration) { p.show("%s: %v of %v played", set.Name, at, set.Day.Length) }})
@@ -198,6 +196,7 @@
 	if err != nil {
 		return err
 	}
+	makeRoom(runtime.GOMAXPROCS(0), set)
 	p := d.progress()
 	small, err := rehearsal.Shrink(d.ctx, set, rehearsal.ShrinkOptions{Without: c.Without,
 		Progress: func(played int, now *scenario.Scenario) {
--- a/internal/rehearsal/hunt.go
+++ b/internal/rehearsal/hunt.go
@@ -91,6 +91,11 @@
 // onAllCores calls do with 0 to n-1, as many at a time as there are cores, until one fails or the context
 // ends, and returns the first error.
 func onAllCores(ctx context.Context, n int, do func(i int) error) error {
+	return onCores(ctx, runtime.GOMAXPROCS(0), n, do)
+}
+
+// onCores is onAllCores with so many at a time.
+func onCores(ctx context.Context, cores, n int, do func(i int) error) error {
 	var (
 		wait sync.WaitGroup
 		mu   sync.Mutex
@@ -109,7 +114,7 @@
 		next++
 		return next - 1, true
 	}
-	for range min(runtime.GOMAXPROCS(0), n) {
+	for range min(cores, n) {
 		wait.Go(func() {
 			for i, ok := take(); ok; i, ok = take() {
 				if failed := do(i); failed != nil {
--- a/internal/rehearsal/live/agent.go
+++ b/internal/rehearsal/live/agent.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	lookEvery  = 100 * time.Millisecond // at what a process takes
-	readyEvery = 20 * time.Millisecond
+	lookEvery    = 100 * time.Millisecond // at what a process takes, where they are few,
+	looksAtATime = 16                     // and of more at so many in that time
+	readyEvery   = 20 * time.Millisecond
 	// spareDescriptors are what a process has beside the sockets that it may hold: its log, the poller and such.
 	spareDescriptors = 64
 	// endsWithin is how long an agent that was told to end may take: the longest wait of a client, the grace
@@ -41,6 +42,7 @@
 	memory  int // MB
 	sockets int
 	spawn   *spawner
+	look    time.Duration // how often it is looked what a process takes
 	log     func(name, line string)
 
 	mu    sync.Mutex
@@ -192,7 +194,7 @@
 
 // look looks at what the process takes, until it ends.
 func (p *process) look() {
-	tick := time.NewTicker(lookEvery)
+	tick := time.NewTicker(p.agent.look)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/rehearsal/live/live.go
+++ b/internal/rehearsal/live/live.go
@@ -107,7 +107,8 @@
 	agents []*agent, err error) {
 	for i := range set.Agents.Count {
 		a := &agent{name: fmt.Sprint("n", i), program: program, memory: set.Agents.MemoryMB,
-			sockets: set.Agents.Sockets, spawn: spawn, log: log}
+			sockets: set.Agents.Sockets, spawn: spawn, log: log,
+			look: lookEvery * time.Duration(max(set.Agents.Count/looksAtATime, 1))}
 		if a.addr, err = freeAddr(addresses{os.Getpid()}.of(i)); err != nil {
 			return nil, err
 		}
@@ -116,8 +117,6 @@
 	return agents, nil
 }
 
-const maxAgents = 64
-
 // checkPlan tells whether the day can be played live, on this machine, at all.
 func checkPlan(set *scenario.Scenario) error {
 	for i, t := range set.Troubles {
@@ -126,9 +125,6 @@
 			return fmt.Errorf("trouble %d: %q is not played live yet", i+1, t.Kind)
 		}
 	}
-	if set.Agents.Count > maxAgents {
-		return fmt.Errorf("%d agents are too many to play live: %d at most", set.Agents.Count, maxAgents)
-	}
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return err
@@ -149,7 +145,7 @@
 			servers += int(t.Part.High*float64(set.Fleet.Servers)) + 1
 		}
 	}
-	return uint64(set.Agents.Count*(servers+set.Agents.Count+8+set.Agents.Sockets) + 100)
+	return uint64(set.Agents.Count*(servers+8+set.Agents.Sockets) + 100)
 }
 
 // planPart is the plan's part of the report.
--- a/internal/rehearsal/live/live_test.go
+++ b/internal/rehearsal/live/live_test.go
@@ -192,7 +192,7 @@
 		"no program":  {shortDay(t, 2, 2), filepath.Join(dir, "none"), "the agent's program"},
 		"ends":        {shortDay(t, 2, 2), script, "ended before it was ready:\nthe port is taken"},
 		"descriptors": {tooMany, program, "descriptors"},
-		"agents":      {shortDay(t, 2, 1000), program, "too many"},
+		"agents":      {shortDay(t, 2, 1000), program, "descriptors"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			defer goleak.VerifyNone(t)
--- a/internal/rehearsal/live/wire.go
+++ b/internal/rehearsal/live/wire.go
@@ -27,6 +27,7 @@
 	day    *world.Live
 	ips    addresses
 	agents []*surroundings
+	peers  *standin.Peers // nil: the agents send one another nothing
 
 	mu      sync.Mutex
 	closing bool
@@ -46,7 +47,6 @@
 	number    int
 	agent     *agent
 	discovery *standin.Discovery
-	peers     *standin.Peers
 	servers   map[netip.AddrPort]*standin.Server // by the address in the world
 }
 
@@ -60,15 +60,23 @@
 		s.discovery, err = standin.ListenDiscovery(ips.of(i)+":0", emptyLines,
 			func(c *standin.Call) { c.Handle = day.Called(i, c.Watch, c.From, &listConn{c, w, s}) },
 			func(c *standin.Call) { day.Uncalled(c.Handle.(*world.Call)) })
-		if err == nil && set.Allow.Peers {
-			s.peers, err = standin.ListenPeers(i, len(agents), netip.MustParseAddrPort(a.addr),
-				func(peer int, data []byte) { day.Told(i, peer, data) })
-		}
 		if err != nil {
 			w.close()
 			return nil, err
 		}
 	}
+	if !set.Allow.Peers {
+		return w, nil
+	}
+	var addrs []netip.AddrPort
+	for _, a := range agents {
+		addrs = append(addrs, netip.MustParseAddrPort(a.addr))
+	}
+	var err error
+	if w.peers, err = standin.ListenPeers(addrs, day.Told); err != nil {
+		w.close()
+		return nil, err
+	}
 	return w, nil
 }
 
@@ -78,13 +86,13 @@
 	w.closing = true
 	w.mu.Unlock()
 	w.starts.Wait()
+	if w.peers != nil {
+		w.peers.Close()
+	}
 	for _, s := range w.agents {
 		if s.discovery != nil {
 			s.discovery.Close()
 		}
-		if s.peers != nil {
-			s.peers.Close()
-		}
 		for _, v := range s.servers {
 			v.Close()
 		}
@@ -194,7 +202,7 @@
 func (s *surroundings) where(addr netip.AddrPort) string { return s.servers[addr].Addr() }
 
 // Datagram implements world.Wire.
-func (w *wire) Datagram(from, to int, data []byte) { w.agents[to].peers.Tell(from, data) }
+func (w *wire) Datagram(from, to int, data []byte) { w.peers.Tell(from, to, data) }
 
 // front is a client's connection, with the operation that is on it.
 type front struct {
@@ -283,9 +291,9 @@
 		"limits": object{"cores": w.set.Agents.Cores, "memory_mb": w.set.Agents.MemoryMB,
 			"sockets": w.set.Agents.Sockets},
 		"known": listObject(known, s.where, w.day.StartedMS), "settings": settingsObject(deployment)}
-	if s.peers != nil {
+	if w.peers != nil {
 		config["peer_listen"] = s.agent.addr
-		config["peers"], config["peers_all"] = s.peers.Addrs()
+		config["peers"], config["peers_all"] = w.peers.Addrs(number)
 	}
 	text := line(config)
 	w.mu.Lock()
--- a/internal/rehearsal/report/loads.go
+++ b/internal/rehearsal/report/loads.go
@@ -62,7 +62,7 @@
 	fmt.Fprintf(t, "load\tservice\tp99\t%s\t\n", cpuName(all))
 	for _, a := range all {
 		fmt.Fprintf(t, "%.3f\t%.3f\t%s\t%.3f\t%s\n", a.Load, a.Report.Service, millis(a.p99()), a.cpu(),
-			a.Report.outcome())
+			a.Report.Outcome())
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/rehearsal/report/page.go
+++ b/internal/rehearsal/report/page.go
@@ -33,7 +33,7 @@
 		Outcome, WithoutWords string
 		Figures               []figure
 		Tables                []pageTable
-	}{Report: r, Outcome: r.outcome(), WithoutWords: r.withoutWords(), Figures: figures}
+	}{Report: r, Outcome: r.Outcome(), WithoutWords: r.withoutWords(), Figures: figures}
 	for _, t := range r.tables() {
 		data.Tables = append(data.Tables, pageTable{t.title, t.head, t.rows})
 	}
--- a/internal/rehearsal/report/text.go
+++ b/internal/rehearsal/report/text.go
@@ -12,7 +12,7 @@
 // Text writes the report for a terminal.
 func (r *Report) Text(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s, seed %d%s: %s\n", r.Scenario, r.Seed, r.withoutWords(), r.outcome())
+	fmt.Fprintf(&b, "%s, seed %d%s: %s\n", r.Scenario, r.Seed, r.withoutWords(), r.Outcome())
 	if r.About != "" {
 		fmt.Fprintf(&b, "%s\n", r.About)
 	}
@@ -31,8 +31,8 @@
 	return ", without " + strings.Join(r.Without, ", ")
 }
 
-// outcome says in a line whether the day passed, and why not.
-func (r *Report) outcome() string {
+// Outcome says in a line whether the day passed, and why not.
+func (r *Report) Outcome() string {
 	var why []string
 	if r.Crash != nil {
 		why = append(why, "crashed: "+r.Crash.Cause)
--- a/internal/rehearsal/scenario/check.go
+++ b/internal/rehearsal/scenario/check.go
@@ -197,7 +197,7 @@
 			d.Complain(path, "%s and %s go together", pair[0], pair[1])
 		}
 	}
-	if t.Kind == Partition && !slices.Contains(s.Network.Zones, t.Zone) {
+	if d.Has(path, "zone") && !slices.Contains(s.Network.Zones, t.Zone) {
 		d.Complain(path+".zone", "%q is unknown; allowed: %s", t.Zone, list(s.Network.Zones))
 	}
 	if t.Kind == OnWire && !slices.Contains(Faults, t.Fault) {
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -371,7 +371,8 @@
 	// AgentsKilled: Count agents are killed, the busiest first, and start from nothing when the trouble ends.
 	AgentsKilled TroubleKind = "agents_killed"
 	// AgentsRestarted: Count agents, the busiest first, are told to end. They drain, and start from nothing when
-	// the trouble ends.
+	// the trouble ends; with a Size, that part of them at a time, evenly over the trouble's length, and each as soon
+	// as it has drained.
 	AgentsRestarted TroubleKind = "agents_restarted"
 	// TakenOut: staff take servers out by hand at every agent that runs, have them restarted half way, and put
 	// them back when the trouble ends. Discovery knows of the restarts alone.
@@ -397,7 +398,7 @@
 	Surge TroubleKind = "surge"
 	// Partition: nothing passes between a zone and the other zones.
 	Partition TroubleKind = "partition"
-	// DatagramsLost: Size of the datagrams between agents are lost.
+	// DatagramsLost: Size of the datagrams between agents are lost, or of those to the agents of a Zone alone.
 	DatagramsLost TroubleKind = "datagrams_lost"
 	// FewConnections: servers accept only Size of the connections that they usually do.
 	FewConnections TroubleKind = "few_connections"
@@ -412,7 +413,8 @@
 	Part Span        `toml:"part" range:"0.001..1"`
 	Size Span        `toml:"size" range:"0..1000"`
 	// Agents that it comes over.
-	Count int      `toml:"count" range:"1..20000"`
+	Count int `toml:"count" range:"1..20000"`
+	// Of the servers that it picks from, or of the agents that hear nothing; empty: of all.
 	Zone  string   `toml:"zone"`
 	Fault Fault    `toml:"fault"`
 	Idle  TimeSpan `toml:"idle_s" range:"0.01..3600"`
@@ -437,18 +439,22 @@
 	most      float64
 }
 
-var comesAndGoes = []string{"on_s", "off_s"}
+var (
+	ofAZone      = []string{"zone"}
+	ofADeploy    = []string{"drain_s", "same_address", "zone"}
+	comesAndGoes = []string{"on_s", "off_s", "zone"}
+)
 
 var troubleKinds = map[TroubleKind]troubleFields{
 	Silent:          {need: []string{"part"}, may: comesAndGoes},
 	Failing:         {need: []string{"part", "size"}, may: comesAndGoes, most: 1},
 	Refusing:        {need: []string{"part"}, may: comesAndGoes},
-	Deploy:          {need: []string{"part", "size"}, may: []string{"drain_s", "same_address"}, most: 1},
+	Deploy:          {need: []string{"part", "size"}, may: ofADeploy, most: 1},
 	Slow:            {need: []string{"size"}, may: []string{"heals_below", "heals_rest_s"}, least: 1, most: 100},
-	Vanished:        {need: []string{"part"}},
+	Vanished:        {need: []string{"part"}, may: ofAZone},
 	Crashed:         {need: []string{"part"}, may: comesAndGoes},
 	AgentsKilled:    {need: []string{"count"}},
-	AgentsRestarted: {need: []string{"count"}},
+	AgentsRestarted: {need: []string{"count"}, may: []string{"size"}, least: 0.001, most: 1},
 	TakenOut:        {need: []string{"part"}},
 	SentAway:        {need: []string{"count"}},
 	Upgraded:        {need: []string{"count"}},
@@ -456,10 +462,10 @@
 	EmptyList:       {},
 	Reset:           {need: []string{"size"}, most: 1},
 	Forgotten:       {need: []string{"idle_s"}},
-	Spoilt:          {need: []string{"part", "size"}, most: 1},
+	Spoilt:          {need: []string{"part", "size"}, may: ofAZone, most: 1},
 	OnWire:          {need: []string{"part", "size", "fault"}, most: 1},
 	Surge:           {need: []string{"size"}, least: 0.01, most: 100},
-	Partition:       {need: []string{"zone"}},
-	DatagramsLost:   {need: []string{"size"}, most: 1},
-	FewConnections:  {need: []string{"part", "size"}, most: 1},
+	Partition:       {need: ofAZone},
+	DatagramsLost:   {need: []string{"size"}, may: ofAZone, most: 1},
+	FewConnections:  {need: []string{"part", "size"}, may: ofAZone, most: 1},
 }
--- a/internal/rehearsal/world/lab_test.go
+++ b/internal/rehearsal/world/lab_test.go
@@ -34,6 +34,7 @@
 	change(set, &m)
 	l.network = newNetwork(set, 1)
 	l.zoneCut = make([]time.Duration, len(set.Network.Zones))
+	l.datagramsLost = make([]float64, len(set.Network.Zones))
 	l.agents = []*agent{{w: l.world, name: "n0"}}
 	l.discovery = newDiscovery(l.world)
 	l.server = l.newServer(0, m, netip.AddrPort{})
--- a/internal/rehearsal/world/network.go
+++ b/internal/rehearsal/world/network.go
@@ -85,7 +85,7 @@
 	delay := w.set.Network.Datagram.Draw(from.chance.Rand)
 	lost := from.chance.Float64()
 	cut := from.zone != to.zone && max(w.zoneCut[from.zone], w.zoneCut[to.zone]) > w.now
-	if cut || lost < max(w.datagramLoss, w.datagramsLost) {
+	if cut || lost < max(w.datagramLoss, w.datagramsLost[to.zone]) {
 		return
 	}
 	w.after(delay, rankArrival, &datagram{from: from, to: to, data: data})
--- a/internal/rehearsal/world/remote.go
+++ b/internal/rehearsal/world/remote.go
@@ -345,7 +345,10 @@
 			}
 		}
 	}
-	w.after(gateStep, rankTrouble, g)
+	// From now on the clock, not from when this look was due: the day's time zero is set once all agents are
+	// ready, and to make up for the looks of the time that is skipped then kept the kit late for a second with
+	// 200 agents.
+	w.enter(max(w.now+gateStep, w.live.clock()), rankTrouble, g)
 }
 
 // gate is what becomes of an agent's wish to connect to a booking server now.
--- a/internal/rehearsal/world/trouble.go
+++ b/internal/rehearsal/world/trouble.go
@@ -34,7 +34,7 @@
 	servers         []*server // that it has come over
 	processes       []*process
 	over            bool
-	batch, replaced int             // of a deploy
+	batch, replaced int             // of a deploy, or of agents that are restarted in turn
 	calm            time.Duration   // for which the servers have been less busy
 	busy            map[int]float64 // of each server's process, when last looked at
 }
@@ -91,6 +91,11 @@
 			s.stop()
 		}
 	case scenario.AgentsKilled, scenario.AgentsRestarted:
+		if t.size > 0 {
+			t.batch = max(int(math.Round(t.size*float64(t.set.Count))), 1)
+			(*restartStep)(t).happen()
+			break
+		}
 		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
 			a.kept++
 			if t.set.Kind == scenario.AgentsKilled {
@@ -154,6 +159,9 @@
 	case scenario.Crashed:
 		t.startAgain()
 	case scenario.AgentsKilled, scenario.AgentsRestarted:
+		if t.size > 0 {
+			break
+		}
 		for _, a := range w.agents[:min(t.set.Count, len(w.agents))] {
 			a.kept--
 			a.rise()
@@ -194,8 +202,9 @@
 // does not change how the others stand.
 func (t *trouble) pick() []*server {
 	var running []*server
+	zone := slices.Index(t.w.set.Network.Zones, t.set.Zone) // below zero: of all
 	for _, s := range t.w.servers {
-		if s.running() {
+		if s.running() && (zone < 0 || s.zone == zone) {
 			running = append(running, s)
 		}
 	}
@@ -249,7 +258,8 @@
 // weigh finds anew how things stand that are alike for all.
 func (w *world) weigh() {
 	slow := 1.0
-	w.resetting, w.forgetsAfter, w.datagramsLost, w.keeps = 0, 0, 0, 1
+	w.resetting, w.forgetsAfter, w.keeps = 0, 0, 1
+	w.datagramsLost = make([]float64, len(w.set.Network.Zones))
 	for _, t := range w.active {
 		switch t.set.Kind {
 		case scenario.Slow:
@@ -261,7 +271,11 @@
 				w.forgetsAfter = t.idle
 			}
 		case scenario.DatagramsLost:
-			w.datagramsLost = max(w.datagramsLost, t.size)
+			for i, zone := range w.set.Network.Zones {
+				if t.set.Zone == "" || t.set.Zone == zone {
+					w.datagramsLost[i] = max(w.datagramsLost[i], t.size)
+				}
+			}
 		case scenario.Surge:
 			w.keeps = min(w.keeps, t.size)
 		}
@@ -313,6 +327,24 @@
 	w.after(t.lasts/time.Duration(batches), rankTrouble, d)
 }
 
+// restartStep restarts the next agents of a rolling restart.
+type restartStep trouble
+
+func (r *restartStep) happen() {
+	t := (*trouble)(r)
+	w, all := t.w, t.w.agents[:min(t.set.Count, len(t.w.agents))]
+	for range t.batch {
+		if t.replaced == len(all) {
+			return
+		}
+		if a := all[t.replaced]; a.life != nil {
+			a.life.drain()
+		}
+		t.replaced++
+	}
+	w.after(t.lasts/time.Duration((len(all)+t.batch-1)/t.batch), rankTrouble, r)
+}
+
 // successor takes the place of a server that has drained.
 type successor struct {
 	trouble *trouble
--- a/internal/rehearsal/world/trouble_test.go
+++ b/internal/rehearsal/world/trouble_test.go
@@ -225,6 +225,27 @@
 			require.Greater(t, d.count(record.Datagram, 0, troubleFrom, nil), 50)
 			require.Zero(t, d.count(record.Datagram, troubleFrom+30*time.Millisecond, troubleTo, nil))
 		}},
+		{trouble: scenario.Trouble{Kind: scenario.DatagramsLost, Size: all, Zone: "buc-pipera"}, check: func(t *testing.T, d *diary) {
+			in := func(of func(record.Event) int32) int {
+				return d.count(record.Datagram, troubleFrom+30*time.Millisecond, troubleTo, func(e record.Event) bool {
+					return d.day.Agents[of(e)].Zone == "buc-pipera"
+				})
+			}
+			require.Zero(t, in(func(e record.Event) int32 { return e.Agent }), "its agents hear nothing")
+			require.Greater(t, in(func(e record.Event) int32 { return e.From }), 5, "and are heard")
+		}},
+		{trouble: scenario.Trouble{Kind: scenario.Crashed, Part: all, Zone: "buc-pipera"}, check: func(t *testing.T, d *diary) {
+			for _, e := range d.of(record.ServerDown) {
+				require.Equal(t, "buc-pipera", d.servers[e.Server].Zone)
+			}
+			require.Greater(t, d.count(record.ServerDown, troubleFrom, troubleFrom+1, nil), 2, "all that there are in it")
+		}},
+		{trouble: scenario.Trouble{Kind: scenario.AgentsRestarted, Count: 5, Size: span(0.4, 0.4)}, check: func(t *testing.T, d *diary) {
+			require.Zero(t, d.count(record.Lost, 0, dayLength, nil))
+			require.Equal(t, 5, d.count(record.AgentDown, 0, dayLength, nil))
+			require.Equal(t, 2, d.count(record.AgentDown, 0, troubleFrom+4*second, nil), "two at a time, the next 4 s later")
+			require.Equal(t, 5, d.count(record.AgentUp, troubleFrom, dayLength, nil), "each as soon as it has drained")
+		}},
 		{trouble: scenario.Trouble{Kind: scenario.FewConnections, Part: all, Size: span(0.005, 0.005)},
 			check: func(t *testing.T, d *diary) {
 				require.Greater(t, d.count(record.Ended, troubleFrom, troubleTo, ended(record.NoConnection)), 10)
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -61,8 +61,8 @@
 	slow          float64 // times as long as usual, for what all servers depend on
 	resetting     float64 // part of the route steps whose connection is reset
 	forgetsAfter  time.Duration
-	datagramsLost float64
-	keeps         float64 // part of the usual traffic that comes
+	datagramsLost []float64 // part of those to the agents of a zone
+	keeps         float64   // part of the usual traffic that comes
 
 	// The load, as drawn.
 	perS             float64
@@ -160,6 +160,7 @@
 	s := w.set
 	w.network = newNetwork(s, w.seed)
 	w.zoneCut = make([]time.Duration, len(s.Network.Zones))
+	w.datagramsLost = make([]float64, len(s.Network.Zones))
 	w.datagramLoss = s.Network.DatagramLoss.Draw(newStream(w.seed, "datagrams").Rand)
 	machines, zones := w.machines()
 	w.drawLoad(machines)
--- a/internal/standin/peers.go
+++ b/internal/standin/peers.go
@@ -6,37 +6,44 @@
 	"sync"
 )
 
-// everyone is the peer's number of what goes to all others.
-const everyone = -1
+// Everyone is the receiver's number of what goes to all others.
+const Everyone = -1
 
-// Peers stands for the other agents of one agent: it has a socket for each of them, to which that agent
-// sends and from which it gets what they send, and one for what goes to all.
+// Peers is the network between the agents of a fleet. Each agent has one socket here that stands for it
+// before all the others: they send to it, and what they get of it comes from there. Who sent is known by
+// its own address, so that a fleet needs as many sockets as agents and one more, not their square.
 type Peers struct {
-	to      netip.AddrPort // the agent's own socket
-	sockets []*net.UDPConn // by the others' numbers; nil: the agent's own
-	all     *net.UDPConn
+	agents  []netip.AddrPort // their own sockets
+	numbers map[netip.AddrPort]int
+	sockets []*net.UDPConn // of the agents' stand-ins
+	all     *net.UDPConn   // for what goes to all
 	wait    sync.WaitGroup
 }
 
-// ListenPeers opens the sockets of count agents round the agent of a number, which listens at an address.
-// Told is called, from several goroutines, with what it sends to one of them; below zero: to all.
-func ListenPeers(own, count int, to netip.AddrPort, told func(peer int, data []byte)) (*Peers, error) {
-	p := &Peers{to: to, sockets: make([]*net.UDPConn, count)}
-	listen := func(peer int) (*net.UDPConn, error) {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: to.Addr().AsSlice()})
+// ListenPeers opens the sockets that stand for the agents, which listen at these addresses, on the IP
+// address of the first. Told is called, from several goroutines, with what one agent sends to another or to
+// Everyone; what others send is dropped.
+func ListenPeers(agents []netip.AddrPort, told func(from, to int, data []byte)) (*Peers, error) {
+	p := &Peers{agents: agents, numbers: make(map[netip.AddrPort]int, len(agents))}
+	listen := func(to int) (*net.UDPConn, error) {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: agents[0].Addr().AsSlice()})
 		if err == nil {
-			p.wait.Go(func() { p.receive(c, peer, told) })
+			p.wait.Go(func() { p.receive(c, to, told) })
 		}
 		return c, err
 	}
+	for i, a := range agents {
+		p.numbers[a] = i
+	}
 	var err error
-	for i := range p.sockets {
-		if i != own && err == nil {
-			p.sockets[i], err = listen(i)
+	for i := 0; i < len(agents) && err == nil; i++ {
+		var c *net.UDPConn
+		if c, err = listen(i); err == nil {
+			p.sockets = append(p.sockets, c)
 		}
 	}
 	if err == nil {
-		p.all, err = listen(everyone)
+		p.all, err = listen(Everyone)
 	}
 	if err != nil {
 		p.Close()
@@ -45,24 +52,25 @@
 	return p, nil
 }
 
-func (p *Peers) receive(c *net.UDPConn, peer int, told func(int, []byte)) {
+func (p *Peers) receive(c *net.UDPConn, to int, told func(from, to int, data []byte)) {
 	var buf [2048]byte
 	for {
-		n, from, err := c.ReadFromUDPAddrPort(buf[:])
+		n, addr, err := c.ReadFromUDPAddrPort(buf[:])
 		if err != nil {
 			return
 		}
-		if netip.AddrPortFrom(from.Addr().Unmap(), from.Port()) == p.to {
-			told(peer, append([]byte(nil), buf[:n]...))
+		from, known := p.numbers[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
+		if known && from != to {
+			told(from, to, append([]byte(nil), buf[:n]...))
 		}
 	}
 }
 
-// Addrs are the addresses that the agent is told: of each agent, its own included, and that for all.
-func (p *Peers) Addrs() (each []string, all string) {
-	for _, c := range p.sockets {
-		if c == nil {
-			each = append(each, p.to.String())
+// Addrs are the addresses that an agent is told: of each agent, its own included, and that for all.
+func (p *Peers) Addrs(agent int) (each []string, all string) {
+	for i, c := range p.sockets {
+		if i == agent {
+			each = append(each, p.agents[i].String())
 		} else {
 			each = append(each, c.LocalAddr().String())
 		}
@@ -70,11 +78,9 @@
 	return each, p.all.LocalAddr().String()
 }
 
-// Tell hands the agent a datagram from a peer; like any, it may be lost.
-func (p *Peers) Tell(peer int, data []byte) {
-	if c := p.sockets[peer]; c != nil {
-		_, _ = c.WriteToUDPAddrPort(data, p.to)
-	}
+// Tell hands an agent a datagram from a peer; like any, it may be lost.
+func (p *Peers) Tell(from, to int, data []byte) {
+	_, _ = p.sockets[from].WriteToUDPAddrPort(data, p.agents[to])
 }
 
 // Close closes the sockets.
