--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,8 +48,6 @@
 	carriedUp    = 0.5 // gain of what is sent in a round, where it is more than before
 	carriedDown  = 0.02
 	idleShare    = 0.1
-	arrivalGain  = 0.3
-	leastBucket  = 3.0  // requests: a small balancer meets a tenant now and then, not evenly
 	latencyGain  = 0.15 // weight of a new sample of latency
 	quickStep    = 0.01
 	leastSpeed   = 0.25 // of the quickest kind's
@@ -449,7 +447,7 @@
 	t := min(r.class.hard, b.hardShare*seconds(min(r.aimBy, r.deadline)-b.now))
 	if r.low && t > b.pace.quick { // a share of the queue: what even an idle server takes is not counted
 		if t = b.pace.quick + b.fig.LowShare*(t-b.pace.quick); !b.set.Limits.Peers {
-			t += (1 - b.fig.LowShare) / 2 / b.fig.LowShare * (t - b.pace.quick) // the mark is a guess: see overQuota
+			t += (1 - b.fig.LowShare) / 2 / b.fig.LowShare * (t - b.pace.quick) // a guess: see package quota
 		}
 	}
 	return t
@@ -486,7 +484,7 @@
 	if e.Key != "" {
 		r.keyed, r.hash = true, ring.Hash(e.Key)
 	}
-	r.low = b.overQuota(e.Tenant)
+	r.low = b.quota.Over(b.now, e.Tenant)
 	b.tokens = min(b.tokens+b.fig.RetryRatio, b.fig.RetryReserve)
 	b.spares = min(b.spares+b.fig.SpareRatio, b.fig.SpareReserve)
 	b.requests[e.ID] = r
@@ -757,11 +755,8 @@
 	}
 	b.area, b.sentRound = 0, 0
 	b.lies *= math.Exp2(-float64(roundLength) / float64(penaltyHalf)) // so that they are asked again
-	b.arrivals += arrivalGain * (b.came - b.arrivals)
-	b.came = 0
-	// With peers the mean over all balancers is found by gossip: each one told moves halfway to it.
-	if b.meanArrivals += arrivalGain * (b.arrivals - b.meanArrivals); b.quotas > 0 {
-		b.tell(rateMessage(b.meanArrivals))
+	if mean, tell := b.quota.Round(); tell {
+		b.tell(rateMessage(mean))
 	}
 	maps.DeleteFunc(b.keys, func(_ uint32, k *blame) bool { return b.now > max(k.at+poisonHold, k.until) })
 	b.forgetGone()
@@ -870,23 +865,6 @@
 	}
 }
 
-// overQuota tells whether the request is likely beyond its tenant's share, of which Part is this balancer's.
-func (b *Balancer) overQuota(name string) bool {
-	b.arrived()
-	t := b.tenants[name]
-	if t == nil || t.QuotaPerS <= 0 {
-		return false
-	}
-	rate := t.QuotaPerS * b.Part()
-	t.bucket = min(t.bucket+rate*seconds(b.now-t.at), max(rate, leastBucket))
-	t.at = b.now
-	if t.bucket < 1 {
-		return true
-	}
-	t.bucket--
-	return false
-}
-
 // tell sends a message to k peers, or to all where there are no more: never to all of a large fleet.
 func (b *Balancer) tell(data []byte) {
 	others := b.set.Balancers - 1
@@ -960,7 +938,7 @@
 		return
 	}
 	if m.kind == msgRate {
-		b.meanArrivals += 0.5 * (m.score - b.meanArrivals)
+		b.quota.Heard(m.score)
 		return
 	}
 	s := b.byHash[m.hash]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -659,7 +659,7 @@
 		if i%20 == 0 {
 			b.Step(time.Duration(i)*ms*50, &TimerDue{Tag: tagRound})
 		}
-		if b.overQuota("b") {
+		if b.quota.Over(b.now, "b") {
 			low++
 		}
 	}
@@ -673,10 +673,10 @@
 		t.Error("traffic beyond a quota waits as long as the rest")
 	}
 	// each one told moves halfway to its peer's mean
-	b.meanArrivals = 10
+	b.quota.Recall(0, 0, 10)
 	b.Step(time.Minute, &PeerMessage{From: 1, Data: rateMessage(30)})
-	if b.meanArrivals != 20 {
-		t.Errorf("mean %v", b.meanArrivals)
+	if _, mean := b.quota.Rates(); mean != 20 {
+		t.Errorf("mean %v", mean)
 	}
 }
 
@@ -1101,8 +1101,9 @@
 		{From: 1, Data: append(rateMessage(5), 0)}, {From: 1, Data: []byte{msgDampResp, 0, 0, 0, 0, 255}},
 	} {
 		b := start(t, set, list(4))
-		if acts := b.Step(time.Second, &m); len(acts) > 0 || b.meanArrivals != 0 {
-			t.Errorf("%+v: %+v, mean %v", m, acts, b.meanArrivals)
+		acts := b.Step(time.Second, &m)
+		if _, mean := b.quota.Rates(); len(acts) > 0 || mean != 0 {
+			t.Errorf("%+v: %+v, mean %v", m, acts, mean)
 		}
 	}
 }
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -119,8 +119,9 @@
 // Remember returns what the Balancer has learned.
 func (b *Balancer) Remember(now time.Duration) Memory {
 	b.now = max(b.now, now)
+	here, mean := b.quota.Rates()
 	m := Memory{Pace: b.pace.memory(), Latency: b.latency, Failing: b.failing, Rate: b.rate, Typical: b.typical,
-		Arrivals: b.arrivals, MeanArrivals: b.meanArrivals, MeanWork: b.meanWork, MeanHeld: b.meanHeld,
+		Arrivals: here, MeanArrivals: mean, MeanWork: b.meanWork, MeanHeld: b.meanHeld,
 		Tokens: b.tokens}
 	for _, name := range byName(b.kinds) {
 		m.Kinds = append(m.Kinds, KindMemory{name, b.kinds[name].memory()})
@@ -132,10 +133,11 @@
 	for _, name := range names {
 		m.Classes = append(m.Classes, ClassMemory{name, b.classes[name].budget})
 	}
-	for _, name := range byName(b.tenants) {
-		t := b.tenants[name]
-		m.Tenants = append(m.Tenants, TenantMemory{name, t.bucket, b.now - t.at})
+	for _, t := range b.set.Tenants {
+		saved, at := b.quota.Saved(t.Name)
+		m.Tenants = append(m.Tenants, TenantMemory{t.Name, saved, b.now - at})
 	}
+	slices.SortFunc(m.Tenants, func(p, q TenantMemory) int { return cmp.Compare(p.Name, q.Name) })
 	m.Servers = make([]ServerMemory, 0, len(b.ring.Members()))
 	for _, s := range b.ring.Members() {
 		m.Servers = append(m.Servers, b.rememberServer(s, names))
@@ -192,10 +194,7 @@
 	b.failing = trouble * min(amount(m.Failing), 1)
 	b.rate = traffic * amount(m.Rate)
 	b.typical = blend(traffic, m.Typical, b.typical)
-	b.arrivals, b.meanArrivals = traffic*amount(m.Arrivals), traffic*amount(m.MeanArrivals)
-	if b.meanArrivals > 0 {
-		b.settledBy = b.now
-	}
+	b.quota.Recall(b.now, traffic*amount(m.Arrivals), traffic*amount(m.MeanArrivals))
 	b.meanWork, b.meanHeld = amount(m.MeanWork), trouble*amount(m.MeanHeld)
 	b.tokens = min(b.tokens, blend(trouble, m.Tokens, b.tokens))
 	for _, k := range m.Kinds {
@@ -214,9 +213,7 @@
 		}
 	}
 	for _, t := range m.Tenants {
-		if known := b.tenants[t.Name]; known != nil {
-			known.bucket, known.at = amount(t.Bucket), b.now-span(t.Ago)-age
-		}
+		b.quota.Save(t.Name, amount(t.Bucket), b.now-span(t.Ago)-age)
 	}
 	for i := range m.Servers {
 		if s := b.servers[m.Servers[i].ID]; s != nil && s.place.Member() && s.Started == m.Servers[i].Started {
--- a/decide/state.go
+++ b/decide/state.go
@@ -15,6 +15,7 @@
 	"dunestep/health"
 	"dunestep/ledger"
 	"dunestep/proving"
+	"dunestep/quota"
 	"dunestep/ring"
 )
 
@@ -26,7 +27,6 @@
 	set     Settings
 	fig     Figures
 	classes map[string]*class
-	tenants map[string]*tenant
 	rng     *rand.Rand
 	now     time.Duration
 	acts    []Action
@@ -48,30 +48,27 @@
 	trust    float64 // in the list that they are of
 	spares   float64 // for those whose last one never ran
 
-	started                      bool
-	askAgain                     time.Duration // zero: not to be asked again
-	deaf                         int           // calls to discovery that failed since it last told something
-	deafAt                       time.Duration
-	asking                       bool // a call is about to be made
-	zones                        map[string]*zone
-	kinds                        map[string]*pace // of machine, as listed
-	meanHeld                     float64          // of the servers' reports
-	lies                         float64          // part served of the sends in spite of a failed probe
-	meanWait                     float64          // of probes
-	longest                      time.Duration    // aim of a class
-	staleHalf                    time.Duration    // in which what was seen of a server fades by half
-	latency                      float64          // mean over all servers, seconds
-	failing                      float64          // part of the latest attempts that failed
-	pace                         pace             // of all answers
-	quickest, largest, sizes     float64          // least quick time of a kind; members' largest size, and sum
-	meanWork                     float64          // mean of the hints
-	rate, sentRound              float64          // work units sent a second, and in this round
-	typical, area                float64          // usual mean in flight at a server; time in flight of a round
-	areaAt                       time.Duration
-	arrivals, came, meanArrivals float64 // requests a second, in this round, and the mean over all balancers
-	quotas                       float64
-	surge                        surge
-	settledBy                    time.Duration // see meanSettles; zero: nothing came yet
+	started                  bool
+	askAgain                 time.Duration // zero: not to be asked again
+	deaf                     int           // calls to discovery that failed since it last told something
+	deafAt                   time.Duration
+	asking                   bool // a call is about to be made
+	zones                    map[string]*zone
+	kinds                    map[string]*pace // of machine, as listed
+	meanHeld                 float64          // of the servers' reports
+	lies                     float64          // part served of the sends in spite of a failed probe
+	meanWait                 float64          // of probes
+	longest                  time.Duration    // aim of a class
+	staleHalf                time.Duration    // in which what was seen of a server fades by half
+	latency                  float64          // mean over all servers, seconds
+	failing                  float64          // part of the latest attempts that failed
+	pace                     pace             // of all answers
+	quickest, largest, sizes float64          // least quick time of a kind; members' largest size, and sum
+	meanWork                 float64          // mean of the hints
+	rate, sentRound          float64          // work units sent a second, and in this round
+	typical, area            float64          // usual mean in flight at a server; time in flight of a round
+	areaAt                   time.Duration
+	quota                    *quota.Book
 }
 
 // New returns a Balancer that knows no servers yet.
@@ -80,11 +77,12 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, fig: set.Figures, rng: rand.New(rand.NewPCG(seed, 0x5072656c)),
-		classes: map[string]*class{}, tenants: map[string]*tenant{}, servers: map[string]*server{},
+		classes: map[string]*class{}, servers: map[string]*server{},
 		byHash: map[uint32]*server{}, ring: ring.New[*server](replicaPoints),
 		requests: map[uint32]*request{}, keys: map[uint32]*blame{}, zones: map[string]*zone{},
 		kinds: map[string]*pace{}, typical: typicalStart / float64(set.Balancers),
 		tokens: set.Figures.RetryReserve, spares: set.Figures.SpareReserve}
+	b.quota = quota.New(set.Balancers, set.Limits.Peers)
 	b.cold = cold.Terms{Share: set.Rules.ColdShare, For: set.Rules.ColdFor, FallMultiple: set.Rules.FallMultiple,
 		FallWindow: set.Rules.FallWindow, Margin: b.fig.ColdMargin, Most: b.fig.ColdMost, Balancers: set.Balancers}
 	shortest := set.Classes[0].Aim
@@ -96,8 +94,7 @@
 	b.staleHalf = min(time.Duration(staleAims*float64(b.longest)), staleMost)
 	b.rankClasses()
 	for _, t := range set.Tenants {
-		b.tenants[t.Name] = &tenant{Tenant: t}
-		b.quotas += max(t.QuotaPerS, 0)
+		b.quota.Add(t.Name, t.QuotaPerS)
 	}
 	return b, nil
 }
@@ -115,62 +112,8 @@
 	b.act(Action{Kind: SetTimer, After: after, Tag: uint64(id)<<2 | purpose})
 }
 
-// Part is this balancer's part of all arrivals: without peers as if all traffic together met the quotas.
-func (b *Balancer) Part() float64 {
-	here := b.arrivals
-	if b.now >= b.settledBy {
-		here = max(here, b.surge.surely(b.now))
-	}
-	switch {
-	case b.arrivals == 0:
-		return 1 / float64(b.set.Balancers)
-	case b.set.Limits.Peers:
-		return here / max(b.meanArrivals*float64(b.set.Balancers), here)
-	}
-	return min(here/b.quotas, 1)
-}
-
-// arrived counts a request that came.
-func (b *Balancer) arrived() {
-	b.settledBy = cmp.Or(b.settledBy, b.now+meanSettles)
-	b.came++
-	b.surge.add(b.now)
-}
-
-const (
-	surgeHalf = 250 * time.Millisecond
-	// meanSettles is how long the mean arrivals over all balancers take, from the first request on, till they
-	// can be gone by: they begin at nothing. By too low a total every tenant would look within its share.
-	meanSettles = 8 * time.Second
-)
-
-// surge is how many requests came in the last moments. Guards against a mean over rounds that takes seconds
-// to follow when clients move here from another balancer: till then their requests would be taken for more
-// than their tenants' shares, though all balancers together get no more than before.
-type surge struct {
-	weight float64
-	at     time.Duration
-}
-
-func (s *surge) add(now time.Duration) {
-	s.fade(now)
-	s.weight++
-}
-
-func (s *surge) fade(now time.Duration) {
-	if now == s.at {
-		return // asked several times for each request
-	}
-	s.weight *= math.Exp2(-float64(now-s.at) / float64(surgeHalf))
-	s.at = now
-}
-
-// surely is the rate a second that the weight stands for, less two standard deviations of what chance makes
-// of it: a balancer that gets a request now and then sees no surge in each.
-func (s *surge) surely(now time.Duration) float64 {
-	s.fade(now)
-	return max(s.weight-math.Sqrt(2*s.weight), 0) * math.Ln2 / seconds(surgeHalf)
-}
+// Part is this balancer's part of all arrivals, from 0 to 1.
+func (b *Balancer) Part() float64 { return b.quota.Part(b.now) }
 
 // ringSize is the number of servers on the ring, for taking means; never zero.
 func (b *Balancer) ringSize() float64 { return float64(max(len(b.ring.Members()), 1)) }
@@ -343,12 +286,6 @@
 	return k
 }
 
-type tenant struct {
-	Tenant
-	bucket float64
-	at     time.Duration
-}
-
 type server struct {
 	Server
 	hash    uint32
--- a/decide/view.go
+++ b/decide/view.go
@@ -10,3 +10,7 @@
 	}
 	return n
 }
+
+// Sparse tells whether this balancer is one of so many, and sends so little, that what it has in flight at
+// a server says nothing of how busy that is.
+func (b *Balancer) Sparse() bool { return b.sparse() }
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -370,9 +370,9 @@
 	Crashed TroubleKind = "crashed"
 	// AgentsKilled: Count agents are killed, the busiest first, and start from nothing when the trouble ends.
 	AgentsKilled TroubleKind = "agents_killed"
-	// AgentsRestarted: Count agents, the busiest first, are told to end. They drain, and start from nothing when
-	// the trouble ends; with a Size, that part of them at a time, evenly over the trouble's length, and each as soon
-	// as it has drained.
+	// AgentsRestarted: Count agents, the busiest first, are told to end. They drain, and start from nothing
+	// when the trouble ends; with a Size, that part of them at a time, evenly over the trouble's length, and
+	// each as soon as it has drained.
 	AgentsRestarted TroubleKind = "agents_restarted"
 	// TakenOut: staff take servers out by hand at every agent that runs, have them restarted half way, and put
 	// them back when the trouble ends. Discovery knows of the restarts alone.
