--- a/cmd/dunestep/graphql_test.go
+++ b/cmd/dunestep/graphql_test.go
@@ -233,8 +233,10 @@
 			require.LessOrEqual(t, wait(t, step), 700)
 		}
 	}
-	require.Equal(t, "BAD_REQUEST", w.do(w.post(slotQuery, `{"id":"12"}`)).code())
-	require.Equal(t, "BAD_REQUEST", w.do(w.post(slotQuery, `{}`, "X-Budget", "soon")).code())
+	for _, bad := range []*http.Request{w.post(slotQuery, `{"id":"12"}`), w.post(slotQuery, `{}`, "X-Budget", "soon")} {
+		got := w.do(bad)
+		require.Equal(t, "BAD_REQUEST", got.code(), "%+v; the log says %s", got, w.log.String())
+	}
 	w.first(func(step) string { return reply("500 Internal Server Error", "") }, ok)
 	r := w.post("", `{}`)
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(`{"documentId":"slots-1"}`)), 24
--- a/cmd/dunestep/main.go
+++ b/cmd/dunestep/main.go
@@ -94,7 +94,7 @@
 		PurgeFor:   time.Duration(t.PurgeMS) * time.Millisecond,
 		PurgeLeast: time.Duration(t.PurgeLeastMS) * time.Millisecond,
 		PurgeAgain: time.Duration(t.PurgeAgainS) * time.Second, TrialShare: t.TrialShare, ReturnMore: t.ReturnMore,
-		Turn: time.Duration(t.TurnS) * time.Second}
+		InVain: t.InVain, PurgeSparse: t.PurgeSparse, Turn: time.Duration(t.TurnS) * time.Second}
 }
 
 // serveCommand is the agent itself.
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -66,10 +66,15 @@
 	// PurgeAgainS is for how many seconds a spell that was purged in vain is left alone, twice as long each
 	// time.
 	PurgeAgainS int64 `toml:"purge_again_s" min:"1" max:"3600"`
+	// PurgeSparse has agents of a large fleet that send little each purge slow spells as well.
+	PurgeSparse bool `toml:"purge_sparse"`
 	// TrialShare is how many requests go on for each first try while nothing is served.
 	TrialShare float64 `toml:"trial_share" min:"0.001" max:"0.5"`
 	// ReturnMore is how many times the usual may be in flight while what was down comes back.
 	ReturnMore float64 `toml:"return_more" min:"0.5" max:"10"`
+	// InVain is the part of its attempts in vain at which an agent of a large fleet lets in hardly more than
+	// what is answered; from 1 on it lets all in.
+	InVain float64 `toml:"in_vain" min:"0.05" max:"1"`
 	// TurnS is in how many seconds every key moves once through the order in which requests are let in.
 	TurnS int64 `toml:"turn_s" min:"1" max:"3600"`
 }
@@ -80,7 +85,7 @@
 		Log: Log{Format: Text, Level: "info"}, GraphQL: defaultGraphQL(),
 		State: State{PeriodS: 10, WritesAMinute: 12, DeployS: 900},
 		Storm: Storm{On: true, SpellFactor: 1.65, PurgeShare: 0.5, PurgeMS: 3800, PurgeLeastMS: 2000,
-			PurgeAgainS: 30, TrialShare: 0.1, ReturnMore: 1.25, TurnS: 60}}
+			PurgeAgainS: 30, TrialShare: 0.1, ReturnMore: 1.25, InVain: 0.25, TurnS: 60}}
 }
 
 // check tells what is wrong between keys that are right by themselves.
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -35,6 +35,8 @@
 		}},
 	{"quota", "traffic beyond a tenant's share waits in shorter queues only",
 		func(f *decide.Figures, _ *storm.Figures) { f.LowShare = 1 }},
+	{"throttle", "an agent of a large fleet lets in little more than what is answered",
+		func(_ *decide.Figures, f *storm.Figures) { f.InVain = never }},
 	{"storm", "slow spells are purged, and storms and returning servers met with fewer sends",
 		func(_ *decide.Figures, f *storm.Figures) { f.Off = true }},
 }
--- a/storm/figures.go
+++ b/storm/figures.go
@@ -23,6 +23,11 @@
 	TrialShare float64
 	// ReturnMore is how many times the usual may be in flight while what was down comes back.
 	ReturnMore float64
+	// InVain is the part of its attempts in vain at which an agent of a large fleet lets in hardly more than
+	// what is answered; from 1 on it lets all in.
+	InVain float64
+	// PurgeSparse has agents of a large fleet purge slow spells as well.
+	PurgeSparse bool
 	// TellQuota has refusals tell of the tenant's quota.
 	TellQuota bool
 	// Turn is the time in which each key moves once through the order in which requests are let in.
@@ -34,7 +39,7 @@
 // slower.
 func DefaultFigures() Figures {
 	return Figures{SpellFactor: 1.65, PurgeShare: 0.5, PurgeFor: 3800 * time.Millisecond,
-		PurgeLeast: 2 * time.Second, PurgeAgain: 30 * time.Second, TrialShare: 0.1, ReturnMore: 1.25,
+		PurgeLeast: 2 * time.Second, PurgeAgain: 30 * time.Second, TrialShare: 0.1, ReturnMore: 1.25, InVain: 0.25,
 		Turn: time.Minute}
 }
 
--- a/storm/gate.go
+++ b/storm/gate.go
@@ -24,6 +24,8 @@
 	Step(now time.Duration, ev decide.Event) []decide.Action
 	// Part is this agent's part of all arrivals, from 0 to 1.
 	Part() float64
+	// Sparse tells whether it is one of so many that its own requests in flight bound nothing.
+	Sparse() bool
 }
 
 // Gate lets requests through to a Module, or refuses them.
@@ -56,11 +58,12 @@
 	most        faded // servers that take requests
 	firstAnswer time.Duration
 
-	spell   spell
-	damper  damper
-	repeats repeats
-	further float64       // attempts beyond the first that may be made in an outage
-	slot    time.Duration // of the last client that was told when to come back
+	spell    spell
+	damper   damper
+	repeats  repeats
+	throttle throttle
+	further  float64       // attempts beyond the first that may be made in an outage
+	slot     time.Duration // of the last client that was told when to come back
 
 	// Used again for each event: the module keeps none.
 	again  decide.Request
@@ -126,7 +129,7 @@
 		crowd: level{faded: faded{half: factorHalf}}, order: newOrder(set.Classes), shares: map[string]*share{},
 		came: faded{half: rateHalf}, sent: faded{half: rateHalf}, served: faded{half: rateHalf},
 		usual: faded{half: usualHalf}, most: faded{half: fleetHalf},
-		spell: newSpell(), damper: newDamper(), repeats: newRepeats()}
+		spell: newSpell(), damper: newDamper(), repeats: newRepeats(), throttle: newThrottle()}
 	g.told = newTold(g.rng.Uint64())
 	for _, c := range set.Classes {
 		g.longestAim = max(g.longestAim, c.Aim)
@@ -230,6 +233,10 @@
 		g.refuse(e, who, over)
 		return nil
 	}
+	if g.throttled(e, tier) {
+		g.refuse(e, who, over)
+		return nil
+	}
 	if g.inPurge() || g.damper.phase != calm {
 		before := g.order.before(g.now, tier, g.lot(e))
 		if g.inPurge() && before >= g.purgeRoom() || !g.letIn(e, before) {
@@ -407,6 +414,9 @@
 	a.done = true
 	r.open--
 	g.noLonger(a)
+	if !e.Evidence.Ours {
+		g.throttle.ended(g.now, e.Outcome)
+	}
 	if e.Outcome == decide.Served {
 		g.served.add(g.now, 1)
 		g.usual.add(g.now, 1)
--- a/storm/lab_test.go
+++ b/storm/lab_test.go
@@ -37,6 +37,7 @@
 	silent  bool    // all servers: what is sent is given up after an aim
 	refuses bool    // all servers, at once
 	down    bool    // no connection comes up
+	hurried bool    // what takes longer than an aim is given up
 	heals   time.Duration
 	idle    time.Duration // that the servers have been less than half busy
 	rate    float64
@@ -72,7 +73,8 @@
 
 // roomy stands in for the decision module: it sends to the servers in turn while its agent has few out.
 type roomy struct {
-	out, most, turn, servers int
+	out, most, turn, servers int // most: in flight
+	sparse                   bool
 	acts                     []decide.Action
 }
 
@@ -96,6 +98,7 @@
 }
 
 func (m *roomy) Part() float64 { return 0.25 }
+func (m *roomy) Sparse() bool  { return m.sparse }
 
 func newLab(agents, servers int, change func(*decide.Settings)) *lab {
 	l := &lab{now: epoch, rng: rand.New(rand.NewPCG(1, 2)), servers: servers, slow: 1, said: map[uint32]string{}}
@@ -230,5 +233,5 @@
 	if l.down {
 		return true, decide.NoConnection
 	}
-	return l.silent && l.now-j.began > 500*time.Millisecond, decide.NoAnswer
+	return (l.silent || l.hurried) && l.now-j.began > 500*time.Millisecond, decide.NoAnswer
 }
--- a/storm/spell.go
+++ b/storm/spell.go
@@ -158,6 +158,7 @@
 	}
 	s.looked = g.now
 	g.watchRepeats()
+	g.watchThrottle()
 	if !g.settled() { // what is slow then is what comes back
 		s.slowSince, s.called, s.purging = 0, 0, false
 		return
@@ -189,6 +190,13 @@
 	}
 }
 
+// purges tells whether this agent takes part in purges. Where it is one of many that send little each, and
+// has a throttle, it does not, unless that is set: all spells seen at that size ran their course, purged or
+// not.
+func (g *Gate) purges() bool {
+	return g.fig.PurgeSparse || g.fig.InVain >= 1 || !g.module.Sparse()
+}
+
 // isSlow tells whether all evidence says, and this agent's own does not deny, that work is slow at every
 // server, and that requests find no room for it.
 func (g *Gate) isSlow(factor, weight float64) bool {
@@ -198,7 +206,7 @@
 		least = aloneLeast
 	}
 	known := g.firstAnswer > 0 && g.now >= g.firstAnswer+learnsFor
-	return known && weight >= least && factor >= g.fig.SpellFactor &&
+	return g.purges() && known && weight >= least && factor >= g.fig.SpellFactor &&
 		factor >= g.fig.SpellFactor/g.able() && s.supports(g.now) &&
 		g.slowShare() >= everywhere && g.carried() < carriedMost
 }
@@ -376,7 +384,7 @@
 // spell a little later.
 func (g *Gate) joinPurge() {
 	s := &g.spell
-	if !g.settled() || s.purging || s.called == 0 || s.ended > 0 && g.now < s.ended+joinAfter {
+	if !g.purges() || !g.settled() || s.purging || s.called == 0 || s.ended > 0 && g.now < s.ended+joinAfter {
 		return
 	}
 	if g.now > s.called+g.fig.PurgeFor { // the others did it; it is not proposed again for that long either
