--- a/cmd/rehearse/gate.go
+++ b/cmd/rehearse/gate.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"time"
@@ -54,7 +55,7 @@
 		}
 		sets = append(sets, set)
 	}
-	makeRoom(1, sets...)
+	makeRoom(runtime.GOMAXPROCS(0), sets...)
 	p, all := d.progress(), len(sets)*c.Seeds
 	days, err := rehearsal.Gate(d.ctx, sets, rehearsal.GateOptions{Seeds: c.Seeds, Without: c.Without,
 		Progress: func(done int) { p.show("%d of %d days played", done, all) }})
