A change is heard of before it binds, however the calls to discovery ended

In `asking`, the wait after a refused call was 10 to 20 s in a fleet of hundreds (twice the settings' time for asking), and 2 minutes where lists are pushed and the settings name no such time: sends to a draining server could go on long after 6 s + 3 s. A list that was taken up and then ended instead of telling counted as heard: the clock of what was missed began anew with it, and 200 ms later the ended call's silence even counted as "no news". Connecting and waiting for the answer had 2 s each, so that one hanging call took 4 s of the 9.

Ruled out: small fleets (their waits are 2.4 s at the most); the bound after a silent watch, which held but for a second refused call.

Lines at fault: asking.Clock.most (case Refused, and AskWithin <= 0), List.CallBegun and List.CallQuiet, CallDiscovery's two limits.

Changed: one clock, from when changes may have been missed (the watch's end, its last sign of life, the first call of a process, or SIGHUP with its 4 s); each wait leaves room for a further call before what was missed binds. Only what a call says, or its silence while it is open, ends that.

--- a/asking/example_test.go
+++ b/asking/example_test.go
@@ -18,7 +18,7 @@
 		now += wait
 	}
 	// Output:
-	// call again after 3.75s
-	// call again after 15s
-	// call again after 15s
+	// call again after 3.1875s
+	// call again after 1.770833333s
+	// call again after 1.180555555s
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -205,6 +205,7 @@
 	Quiet   time.Duration // of asking.Silent: how long nothing had come
 	Waiting bool          // of asking.Silent: another call is out in its place
 	ByHand  bool          // staff have brought it, and discovery has said nothing
+	Begun   bool          // discovery has taken a call up, and has said nothing yet
 }
 
 // ProbeDone reports the end of a probe.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -118,7 +118,9 @@
 		b.onDeaf(&e.Word)
 	} else if !e.Word.ByHand {
 		b.askAgain = 0
-		b.discovery.Answered(len(e.Servers) > 0)
+		if !e.Word.Begun {
+			b.discovery.Answered(len(e.Servers) > 0)
+		}
 	}
 	if e.Kind == SyncFailed {
 		return
@@ -895,6 +897,7 @@
 // before the rules take this balancer as told of what it has not heard.
 func (b *Balancer) ask() {
 	if b.set.OnRequest {
+		b.discovery.Called(b.now)
 		b.askAgain = b.now + max(b.set.Rules.AskWithin/4, roundLength)
 		b.act(Action{Kind: Subscribe})
 	}
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -101,7 +101,8 @@
 	version int64
 	calls   int                            // begun so far
 	present int                            // the watch, by its number; zero: none yet
-	begun   bool                           // discovery has taken it up
+	begun   bool                           // discovery has taken it up, and it has not ended
+	moved   bool                           // it is the first call to another address
 	former  int                            // the watch at the address before, until the present one has begun
 	undone  bool                           // the present watch was out of order: the rest of it is passed over
 	fetches map[int]bool                   // those that are out
@@ -318,6 +319,7 @@
 		l.endFormer()
 		l.former = l.present
 		l.watch()
+		l.moved = true
 	}
 	return l.out
 }
@@ -337,7 +339,7 @@
 	if call == l.present { // the answer to the module's call, also where nothing was missed
 		l.begun = true
 		l.endFormer()
-		l.news(decide.SyncChange, protocol.PoolConfig{})
+		l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Word: decide.Word{Begun: true}})
 	}
 	return l.out
 }
@@ -359,7 +361,7 @@
 // bring would have taken: the list that is known is the present one.
 func (l *List) CallQuiet(call int) []ListOutput {
 	l.out = l.out[:0]
-	if call == l.present && !l.undone {
+	if call == l.present && l.begun && !l.undone {
 		l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Confirms: true})
 	}
 	return l.out
@@ -380,8 +382,14 @@
 	case call == l.present || fetched && err != nil:
 		l.put(ListOutput{Kind: CallFailed, Err: err})
 		word := ended(err, call == l.present && l.begun)
-		if call == l.present && l.undone {
+		switch {
+		case call == l.present && l.undone:
 			word.End = asking.Unread
+		case call == l.present && l.moved && word.End == asking.Refused:
+			word.End = asking.Moved
+		}
+		if call == l.present { // nothing more is to be concluded from its silence
+			l.begun = false
 		}
 		l.put(ListOutput{Kind: News, Sync: decide.SyncFailed, Word: word})
 	}
@@ -418,7 +426,7 @@
 // watch begins a watch, from the version that is known.
 func (l *List) watch() {
 	l.calls++
-	l.present, l.begun, l.undone = l.calls, false, false
+	l.present, l.begun, l.undone, l.moved = l.calls, false, false, false
 	l.put(ListOutput{Kind: BeginCall, Call: l.present, Addr: l.addr,
 		Form: protocol.ListCall{Watch: true, From: l.version}})
 }
--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -110,12 +110,13 @@
 		return ListOutput{Kind: News, Sync: kind, Config: c, Told: c, Confirms: c.Version > 0}
 	}
 	none := protocol.PoolConfig{}
+	takenUp := ListOutput{Kind: News, Sync: decide.SyncChange, Word: decide.Word{Begun: true}}
 	ends := func(call int) ListOutput { return ListOutput{Kind: EndCall, Call: call} }
 	l := NewList(here, protocol.PoolConfig{Version: 41}, nil)
 	k := slices.Clone[[]ListOutput]
 	for i, c := range []struct{ got, want []ListOutput }{
 		{k(l.Subscribe()), []ListOutput{begins(1, 41, here)}},
-		{k(l.CallBegun(1)), []ListOutput{news(decide.SyncChange, none)}},
+		{k(l.CallBegun(1)), []ListOutput{takenUp}},
 		{k(l.CallQuiet(1)), []ListOutput{{Kind: News, Sync: decide.SyncChange, Confirms: true}}},
 		{k(l.CallQuiet(7)), nil},
 		{k(l.CallSays(1, at(43, false))), []ListOutput{news(decide.SyncChange, at(43, false))}},
@@ -129,15 +130,15 @@
 		{k(l.Relocate(here)), nil},
 		{k(l.Relocate(there)), []ListOutput{begins(4, 44, there)}},
 		{k(l.CallSays(3, at(45, false))), []ListOutput{news(decide.SyncChange, at(45, false))}}, // until the new one begins
-		{k(l.CallEnded(4, cut)), failed(cut, asking.Refused, decide.Word{})},
+		{k(l.CallEnded(4, cut)), failed(cut, asking.Moved, decide.Word{})},
 		{k(l.Subscribe()), []ListOutput{ends(4), begins(5, 45, there)}},                         // the module tries again
 		{k(l.CallSays(3, at(46, false))), []ListOutput{news(decide.SyncChange, at(46, false))}}, // still
 		{k(l.Relocate(here)), []ListOutput{ends(3), begins(6, 46, here)}},
 		{k(l.Relocate(there)), []ListOutput{ends(5), begins(7, 46, there)}},
 		{k(l.CallEnded(6, cut)), nil},
-		{k(l.CallBegun(7)), []ListOutput{news(decide.SyncChange, none)}},
+		{k(l.CallBegun(7)), []ListOutput{takenUp}},
 		{k(l.Relocate(here)), []ListOutput{begins(8, 46, here)}},
-		{k(l.CallBegun(8)), []ListOutput{ends(7), news(decide.SyncChange, none)}},
+		{k(l.CallBegun(8)), []ListOutput{ends(7), takenUp}},
 		{k(l.CallSays(8, at(12, false))), []ListOutput{{Kind: OutOfOrder, Version: 12, Known: 46}, ends(8)}},
 		{k(l.CallSays(8, at(47, false))), nil}, // it would make the next watch ask for what comes after only
 		{k(l.CallQuiet(8)), nil},               // what it would confirm is not known
@@ -148,15 +149,16 @@
 		{k(l.CallBegun(10)), nil},
 		{k(l.CallSays(10, at(44, true))), []ListOutput{news(decide.SyncChange, none)}}, // the watch has told more since
 		{k(l.CallEnded(10, nil)), nil},
-		{k(l.CallBegun(9)), []ListOutput{news(decide.SyncChange, none)}},
+		{k(l.CallBegun(9)), []ListOutput{takenUp}},
 		{k(l.Relocate(there)), []ListOutput{begins(11, 45, there)}},
 		{k(l.CallEnded(9, mute)), []ListOutput{{Kind: News, Sync: decide.SyncFailed,
 			Word: decide.Word{End: asking.Silent, Quiet: time.Second, Waiting: true}}}}, // the clock runs from there on
-		{k(l.CallBegun(11)), []ListOutput{news(decide.SyncChange, none)}},
+		{k(l.CallBegun(11)), []ListOutput{takenUp}},
 		{k(l.CallEnded(11, mute)), failed(mute, asking.Silent, decide.Word{Quiet: time.Second})},
 		{k(l.Subscribe()), []ListOutput{ends(11), begins(12, 45, there)}},
-		{k(l.CallBegun(12)), []ListOutput{news(decide.SyncChange, none)}},
+		{k(l.CallBegun(12)), []ListOutput{takenUp}},
 		{k(l.CallEnded(12, cut)), failed(cut, asking.Lost, decide.Word{})},
+		{k(l.CallQuiet(12)), nil}, // it ended instead of telling
 	} {
 		require.ElementsMatch(t, c.want, c.got, i)
 	}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// listWait is how long discovery may take to begin its answer; it fails a call that waited longer itself.
+	// listWait is how long discovery may take to begin its answer, connecting included; it fails a call that
+	// waited longer itself. Not longer: see asking, which counts on so much.
 	listWait = 2 * time.Second
 	// silenceWait is one and a half of the empty lines that come every 2 s. Guards against a watch that is cut
 	// off, of which nothing else tells: 6 s after a change the agent counts as told of it.
@@ -35,6 +36,7 @@
 // returns.
 func CallDiscovery(ctx context.Context, addr netip.AddrPort, call protocol.ListCall, begun func(),
 	object func([]byte)) error {
+	began := time.Now()
 	var dialer net.Dialer
 	dialCtx, cancel := context.WithTimeout(ctx, listWait)
 	defer cancel()
@@ -44,7 +46,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	silence := newQuiet(listWait, func() { conn.Close() })
+	silence := newQuiet(listWait-time.Since(began), func() { conn.Close() })
 	defer silence.timer.Stop()
 	err = func() error {
 		if _, err := conn.Write(protocol.AppendListCall(nil, addr.String(), call)); err != nil {
