The Idempotency-Key of a request is passed on with each attempt

Ruled out: the key's value and the class's settings, by a trial that printed the request's fields: Idempotency-Key comes with it, and AppendRouteStep writes a fixed set of fields without it.

Changed: Operation.IdempotencyKeys, passed on unchanged, for plain requests and GraphQL.

Measured: TestIdempotencyKeyIsPassedOn fails without the field (nil for the key, at the first attempt).

--- /dev/null
+++ b/cmd/dunestep/idempotency_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The Idempotency-Key of a request reaches the booking server as its client sent it, with the first attempt and with
+// each further one: without it a request of a class that may be repeated under its key would run twice.
+func TestIdempotencyKeyIsPassedOn(t *testing.T) {
+	const key = "9b1f03aa-5c7e-2d41"
+	w := start(t, 3, (*world).patient, func(w *world) {
+		class := w.config["settings"].(object)["categories"].([]object)[1]
+		class["effect"], class["keyScope"], class["memorySpan"] = "dedup", "all", 60_000_000
+	})
+	turnedAway := reply("503 Service Unavailable", "", "X-Unprocessed: 1")
+	w.first(func(step) string { return turnedAway }, ok)
+	request := w.request("rezervare", 5000)
+	request.Header.Set("Idempotency-Key", key)
+	require.Equal(t, http.StatusOK, w.do(request).status)
+	without := w.request("rezervare", 5000)
+	require.Equal(t, http.StatusOK, w.do(without).status)
+	attempts := 0
+	for _, s := range w.servers {
+		for _, attempt := range s.steps() {
+			attempts++
+			if idOf(attempt) == idOf(step{Request: request}) {
+				require.Equal(t, []string{key}, attempt.Header["Idempotency-Key"], s.id)
+			} else {
+				require.NotContains(t, attempt.Header, "Idempotency-Key", "its client sent none")
+			}
+		}
+	}
+	require.Equal(t, 3, attempts, "two and one")
+}
--- a/internal/protocol/graphql.go
+++ b/internal/protocol/graphql.go
@@ -131,8 +131,8 @@
 	}
 	op := &Operation{Repeat: r.Header.Get("X-Repeat") == "1", Method: r.Method, Target: r.RequestURI,
 		Host: r.Host, ContentType: r.Header.Get("Content-Type"), GraphQL: true,
-		Accept: strings.Join(r.Header["Accept"], ", "),
-		Work:   work(r.Header.Get("X-Facts"))}
+		Accept: strings.Join(r.Header["Accept"], ", "), IdempotencyKeys: r.Header[idempotencyKey],
+		Work: work(r.Header.Get("X-Facts"))}
 	op.TimeLeft = g.leastTimeLeft(r)
 	if err := op.read(r, room, MaxBody); err != nil {
 		return nil, err
--- a/internal/protocol/operation.go
+++ b/internal/protocol/operation.go
@@ -37,7 +37,10 @@
 	// Passed on unchanged.
 	Method, Target, Host, ContentType string
 	Accept                            string // what the client takes; empty: not passed on
-	Body                              []byte // of a longer one the beginning
+	// IdempotencyKeys are the values of the request's Idempotency-Key fields, one as a rule: by them a booking
+	// server tells a repeated request of a class that may be repeated under its key.
+	IdempotencyKeys []string
+	Body            []byte // of a longer one the beginning
 	// Length is the whole body's where that is longer than Body; below zero: not told; zero: Body is all of it.
 	Length int64
 	// Rest is what follows Body, as it comes; nil: Body is all. Whole is closed when it has come to its end.
@@ -60,6 +63,9 @@
 	errMethod  = errors.New("the method must be GET, without a body, or POST")
 )
 
+// idempotencyKey is the header field that the IETF's draft names, in the form that net/http gives it.
+const idempotencyKey = "Idempotency-Key"
+
 const maxTimeLeftMS = int64(time.Hour / time.Millisecond)
 
 // Form is a form in which operations come and answers go on a front socket: it begins the exchange for a
@@ -88,7 +94,7 @@
 	r := p.r
 	op := &Operation{CorrelationID: r.Header.Get("X-Correlation-Id"), Tenant: r.Header.Get("X-Account"),
 		Repeat: r.Header.Get("X-Repeat") == "1", Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		ContentType: r.Header.Get("Content-Type")}
+		ContentType: r.Header.Get("Content-Type"), IdempotencyKeys: r.Header[idempotencyKey]}
 	if _, err := strconv.ParseUint(op.CorrelationID, 16, 64); err != nil || len(op.CorrelationID) != 16 {
 		return nil, errID
 	}
--- a/internal/protocol/routestep.go
+++ b/internal/protocol/routestep.go
@@ -30,6 +30,9 @@
 	if op.Accept != "" {
 		field("Accept", op.Accept)
 	}
+	for _, key := range op.IdempotencyKeys {
+		field(idempotencyKey, key)
+	}
 	switch {
 	case op.Length < 0:
 		field("Transfer-Encoding", "chunked")
