A watch that was taken up meanwhile is not given up for another call

Seen by reading: after a failed call the module sets a timer for the next one. A call at another address (SIGHUP) may be answered before; the timer then ended that watch all the same for a new call, which a discovery with too many callers may refuse.

Line at fault: decide.Balancer.onTimer, tagAsk.

Changed: the timer calls only while changes may have been missed (asking.Clock.Missing).

Measured: TestDiscoveryHeardMeanwhile fails without the look.

--- a/asking/asking.go
+++ b/asking/asking.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Missing tells whether changes may have been made that were not heard of: no call has been answered since.
+func (c *Clock) Missing() bool { return c.missing }
+
 // Deaf tells whether what has changed lately may not have been heard of.
 func (c *Clock) Deaf(now time.Duration) bool { return c.failed > 0 && now-c.failedAt < deafFor }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,8 +100,9 @@
 	case purpose == tagRound && b.started:
 		b.endRound()
 	case purpose == tagAsk:
-		b.asking = false
-		b.ask()
+		if b.asking = false; b.discovery.Missing() { // else it is watched again, as at another address
+			b.ask()
+		}
 	case r == nil || r.closed:
 	case purpose == tagRetry && r.holding && b.now >= max(r.askUntil, r.paced):
 		r.holding = false
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"dunestep/asking"
 	"dunestep/health"
 	"dunestep/ring"
 )
@@ -736,6 +737,26 @@
 	}
 }
 
+// Guards against a watch that is given up for another call: it was taken up meanwhile, as at another address after
+// SIGHUP, and the call in its place may be refused.
+func TestDiscoveryHeardMeanwhile(t *testing.T) {
+	set := settings()
+	set.OnRequest = true
+	b, _ := New(set, 1)
+	b.Step(0, &Membership{Kind: SyncSaved})
+	for i, heard := range []bool{true, false} {
+		lost := time.Duration(i+1) * time.Minute
+		again := find(b.Step(lost, &Membership{Kind: SyncFailed, Word: Word{End: asking.Lost}}), SetTimer)
+		require.NotNil(t, again)
+		b.Step(lost+ms, &Membership{Kind: SyncChange, Word: Word{Begun: true}})
+		if heard {
+			b.Step(lost+2*ms, &Membership{Kind: SyncChange})
+		}
+		asks := find(b.Step(lost+again.After, &TimerDue{Tag: again.Tag}), Subscribe) != nil
+		require.Equal(t, !heard, asks)
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"no classes":  func(s *Settings) { s.Classes = nil },
