A short answer that has begun is broken off at its time, not 3 s after it

Seen by reading, after the operators' "ended with no whole answer, or too late": an answer whose length is not told is passed on from 50 ms after its first byte on. If it then stands still, it was waited for until 3 s after its request's time, and one that trickles for 2 minutes: past half a second after its time a request is lost. That rule was made for answers over 64 KiB, of which the first bytes are timed; of the others the last one is.

Line at fault: core.Progress.MayGoOn, which asked neither the length nor whether the class is streamed.

Changed: an answer that, as far as is known, has no more than 64 KiB and is no stream ends once nothing has come for 200 ms at its time, and 400 ms after it in any case where its length is known; its client can tell, as of any that breaks off. TestAnswersGoOn had three lines by which an answer of 1,000 bytes goes on 1 to 3 s after its time; they now say so of 70,000 bytes, and twelve lines more hold short ones, streams and the bounds.

--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -5,6 +5,7 @@
 
 	"dunestep/decide"
 	"dunestep/health"
+	"dunestep/internal/protocol"
 )
 
 // Ending is how a route step ended, or why this agent is to end it. As an error it is the cause of a context.
@@ -51,6 +52,13 @@
 	HeldUp time.Duration // held up since then, because earlier bytes were not taken
 	Coming time.Duration // since the first byte, less HeldUp
 	Whole  bool          // all of it has come
+	Stream bool          // its class is streamed: only its first bytes are timed, however short it is
+}
+
+// timedWhole tells whether the answer, as far as is known, is one whose last byte has to come in its request's
+// time; of a longer one, and of a stream, only the first bytes are timed.
+func (p Progress) timedWhole() bool {
+	return !p.Stream && max(p.Came, p.Length) <= protocol.MaxBody
 }
 
 // Sighting is what was seen of a route step that has ended, by whoever carried it out.
@@ -119,6 +127,11 @@
 }
 
 const (
+	// An answer of which the last byte is timed is lost to its client half a second after its time. Before that
+	// it is ended, where the client can tell: at stillMost without a byte, where it may turn out to be a longer
+	// one, and at lateMost in any case where its length is known.
+	stillMost = 200 * time.Millisecond
+	lateMost  = 400 * time.Millisecond
 	// restWait is how long after its operation's time an answer that has begun may stand still: what still comes
 	// is wanted, however late, and what has stopped would be waited for in vain.
 	restWait = 3 * time.Second
@@ -141,15 +154,18 @@
 }
 
 // MayGoOn tells whether an answer that has begun may go on, or why not: sent is how long ago its route step
-// was sent, left what is left of its operation's time, quiet how long nothing has come though it could. The
-// time is of the first bytes: a booking server that still gives is not cut off. A client may hold up the
-// connection of a booking server for as long as that itself has needed since the route step was sent, and lag
-// more, and beyond that while it takes a fair number of bytes.
+// was sent, left what is left of its operation's time, quiet how long nothing has come though it could. A short
+// answer has to be whole in its time; of a long one and of a stream the first bytes are timed, and a booking
+// server that still gives is not cut off. A client may hold up the connection of a booking server for as long
+// as that itself has needed since the route step was sent, and lag more, and beyond that while it takes a fair
+// number of bytes.
 func (p Progress) MayGoOn(sent, left, quiet, lag time.Duration) Ending {
 	own := sent - p.Before - p.HeldUp
 	switch {
 	case p.Whole:
 		return GoesOn
+	case p.timedWhole() && (left <= 0 && quiet > stillMost || p.Length >= 0 && left < -lateMost):
+		return OutOfTime
 	case left <= 0 && quiet > restWait, left < -restMost:
 		return OutOfTime
 	case p.HeldUp > own+lag && float64(p.Came) < leastTaken*(p.Coming+p.HeldUp).Seconds():
--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -230,10 +230,22 @@
 		want              Ending
 		outcome           decide.Outcome
 	}{
+		{Progress{Length: 70000, Came: 1, Coming: 200 * ms}, 200 * ms, ms, 999 * ms, GoesOn, 0},
+		{Progress{Length: 70000, Came: 1, Coming: 200 * ms}, 200 * ms, -999 * ms, 2999 * ms, GoesOn, 0},
+		{Progress{Length: 70000, Came: 1, Coming: 200 * ms}, 200 * ms, 1 * ms, 3001 * ms, GoesOn, 0},
+		{Progress{Length: 70000, Came: 1, Coming: 200 * ms}, 200 * ms, 0, 3001 * ms, OutOfTime, decide.NoAnswer},
+		{Progress{Length: -1, Came: 70000, Coming: 200 * ms}, 200 * ms, 0, 3001 * ms, OutOfTime, decide.NoAnswer},
+		{Progress{Length: -1, Came: 70000, Coming: 200 * ms}, 200 * ms, -999 * ms, 2999 * ms, GoesOn, 0},
+		// A short one is of use in its time alone, and lost to its client half a second later.
 		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, ms, 999 * ms, GoesOn, 0},
-		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, -999 * ms, 2999 * ms, GoesOn, 0},
-		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, 1 * ms, 3001 * ms, GoesOn, 0},
-		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, 0, 3001 * ms, OutOfTime, decide.NoAnswer},
+		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, 0, 200 * ms, GoesOn, 0},
+		{Progress{Length: 1000, Came: 1, Coming: 200 * ms}, 200 * ms, 0, 201 * ms, OutOfTime, decide.NoAnswer},
+		{Progress{Length: 65536, Came: 1, Coming: 200 * ms}, 200 * ms, -400 * ms, 0, GoesOn, 0},
+		{Progress{Length: 65536, Came: 1, Coming: 200 * ms}, 200 * ms, -401 * ms, 0, OutOfTime, decide.NoAnswer},
+		{Progress{Length: -1, Came: 65536, Coming: 200 * ms}, 200 * ms, -401 * ms, 200 * ms, GoesOn, 0},
+		{Progress{Length: -1, Came: 65536, Coming: 200 * ms}, 200 * ms, -401 * ms, 201 * ms, OutOfTime, decide.NoAnswer},
+		{Progress{Length: 1000, Came: 1, Coming: 200 * ms, Stream: true}, 200 * ms, -999 * ms, 2999 * ms, GoesOn, 0},
+		{Progress{Length: 1000, Came: 1, Coming: 200 * ms, Stream: true}, 200 * ms, 0, 3001 * ms, OutOfTime, decide.NoAnswer},
 		{Progress{Length: -1, Came: 1, Coming: time.Hour}, time.Hour, -restMost - 1, 0, OutOfTime, decide.NoAnswer},
 		{Progress{Length: 1000, Came: 1, Coming: 99 * ms, HeldUp: 100 * ms}, 999 * ms, 0, 3001 * ms, OutOfTime,
 			decide.CalledOff},
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -338,7 +338,9 @@
 			return
 		}
 		p, left, lag := r.Flow.Progress(), time.Until(step.times.Load().deadline), b.set.bodies.Rules().Lag
-		if why := progress(p).MayGoOn(time.Since(step.sent), left, p.Quiet, lag); why != core.GoesOn {
+		body := progress(p)
+		body.Stream = step.streamed
+		if why := body.MayGoOn(time.Since(step.sent), left, p.Quiet, lag); why != core.GoesOn {
 			step.cancel(why)
 			return
 		}
