A connection rests 25 ms after its answer before the next step is written on it

What comes before the write was noticed already (begin). Ruled out: telling it by its content (equal answers to different requests are sound); the longest rested connection first (an agent has one idle connection to most servers); distrust from the first stray answer on (the first may already be another's answer); a new connection in place of the wait (a handshake for both sides, priced, and it takes as long). Changed: core.Pool hands out the connection used last of those that have settled, else the one that settles first, with the time to wait (Lease.Settles); the step waits beside the actor, ends its wait with the connection, and goes out on a new one if that ended. A step that is given up meanwhile is not written (mayWrite asks its context too), its connection goes back with the time that it has stood (Pool.Unused; before, a step called off before its write made it look fresh). The rehearsal's world waits as well.

--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -21,7 +21,7 @@
 // Connections are used again, the last one first, where they are sure to be open: not once they have stood idle,
 // ended, lead to a former address, or their server has left.
 func TestPool(t *testing.T) {
-	p := NewPool[string](here, NewIdleLimit(0, 10*time.Second)) // 6 s are allowed
+	p := NewPool[string](here, NewIdleLimit(0, 10*time.Second), 0) // 6 s are allowed
 	begin := func(now time.Duration, reuses string, closes ...string) {
 		lease, closing := p.Begin(now)
 		require.Equal(t, reuses, lease.Conn)
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -1,15 +1,27 @@
 package core
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 )
 
+// SettleTime is how long a connection rests after its answer before the next route step is written on it. A
+// booking server may answer twice, the second time "some milliseconds" late, and nothing in an answer tells
+// which request it is for: what comes while no step is on the connection ends it, what comes later would be
+// taken for the next one's answer. Ten milliseconds are some; as many again are for what the way adds, and five
+// for a machine that is busy. One in twenty steps waits, for half of it on the mean, where an agent sends a
+// booking server two requests a second; a connection in its place would cost both sides a handshake, and is
+// priced.
+const SettleTime = 25 * time.Millisecond
+
 // Pool is a booking server's actor without its mailbox: it owns the connections that wait for their next
 // route step, and knows how many route steps are out. C is a connection as its owner knows it. Inputs return
 // the connections to be closed, valid until the next input.
 type Pool[C comparable] struct {
 	limit   Limiter
+	settle  time.Duration
 	addr    netip.AddrPort
 	idle    []pooled[C] // the one used last at the end
 	busy    int
@@ -30,34 +42,58 @@
 
 // Lease is what a route step gets to go out on.
 type Lease[C comparable] struct {
-	Reused bool
-	Conn   C             // where Reused
-	Stood  time.Duration // idle until now, where Reused
-	Addr   netip.AddrPort
+	Reused  bool
+	Conn    C             // where Reused
+	Settles time.Duration // how long the step waits until it may be written, where Reused
+	Stood   time.Duration // how long the connection will have been idle then, where Reused
+	Addr    netip.AddrPort
+
+	from pooled[C] // the pool's, where Reused
 }
 
-// NewPool returns the pool of a booking server at an address.
-func NewPool[C comparable](addr netip.AddrPort, limit Limiter) *Pool[C] {
-	return &Pool[C]{limit: limit, addr: addr}
+// NewPool returns the pool of a booking server at an address. A connection rests for settle after its answer;
+// see SettleTime.
+func NewPool[C comparable](addr netip.AddrPort, limit Limiter, settle time.Duration) *Pool[C] {
+	return &Pool[C]{limit: limit, addr: addr, settle: settle}
 }
 
-// Begin takes a route step in, and says on which connection it goes out: the one used last, since the longest
-// unused are the likeliest to have been forgotten on the way, or a new one. Over tells of its end.
+// Begin takes a route step in, and says on which connection it goes out: of those that have settled the one
+// used last, since the longest unused are the likeliest to have been forgotten on the way; else the one that
+// settles first; else a new one. Over tells of its end.
 func (p *Pool[C]) Begin(now time.Duration) (Lease[C], []C) {
 	p.busy++
 	p.closing = p.closing[:0]
-	lease := Lease[C]{Addr: p.addr}
-	if n := len(p.idle); n > 0 {
-		last := p.idle[n-1]
-		if stood := now - last.since; stood > p.limit.Limit() {
-			p.drop(func(pooled[C]) bool { return true }) // the others have stood for longer
-		} else {
-			lease.Reused, lease.Conn, lease.Stood = true, last.conn, stood
-			p.idle[n-1] = pooled[C]{}
-			p.idle = p.idle[:n-1]
-		}
+	limit := p.limit.Limit()
+	p.drop(func(c pooled[C]) bool { return max(now-c.since, p.settle) > limit })
+	if len(p.idle) == 0 {
+		return Lease[C]{Addr: p.addr}, p.closing
+	}
+	at := len(p.idle) - 1
+	for at > 0 && now-p.idle[at].since < p.settle {
+		at--
 	}
-	return lease, p.closing
+	from := p.idle[at]
+	p.idle = slices.Delete(p.idle, at, at+1)
+	stood := now - from.since
+	settles := max(p.settle-stood, 0)
+	return Lease[C]{Reused: true, Conn: from.conn, Settles: settles, Stood: stood + settles, Addr: p.addr,
+		from: from}, p.closing
+}
+
+// Unused takes the end of a route step in that was not written on the connection of its lease, which has stood
+// idle all along. Ended tells that it has ended since.
+func (p *Pool[C]) Unused(lease Lease[C], ended bool) []C {
+	p.busy--
+	p.closing = p.closing[:0]
+	if p.retired || p.resting || lease.Addr != p.addr || ended {
+		p.closing = append(p.closing, lease.Conn)
+		return p.closing
+	}
+	at, _ := slices.BinarySearchFunc(p.idle, lease.from.since, func(c pooled[C], since time.Duration) int {
+		return cmp.Compare(c.since, since)
+	})
+	p.idle = slices.Insert(p.idle, at, lease.from)
+	return p.closing
 }
 
 // OverClosed takes the end of a route step in whose connection is closed, or never was.
--- a/internal/rehearsal/world/conn.go
+++ b/internal/rehearsal/world/conn.go
@@ -191,6 +191,12 @@
 		return
 	}
 	if s := c.step; s != nil && !s.ended {
+		if s.settling() { // it goes out on a new one
+			c.close()
+			s.lease = core.Lease[*conn]{Addr: s.lease.Addr}
+			c.life.dial(s)
+			return
+		}
 		s.end(core.BrokenOff)
 		return
 	}
--- a/internal/routing/answered_test.go
+++ b/internal/routing/answered_test.go
@@ -45,7 +45,7 @@
 	}()
 	k := newClock()
 	reports := make(chan any, 4)
-	b := startBooking(upstreamSettings{clock: k, connectTimeout: time.Minute, connects: &connects{},
+	b := startBooking(upstreamSettings{clock: k, connectTimeout: time.Minute, settle: core.SettleTime, connects: &connects{},
 		idleLimit:   &idleLimit{core: core.NewIdleLimit(k.now(), time.Hour)},
 		descriptors: transport.NewDescriptors(16, func() {}), figures: figures.New(nil),
 		bodies: transport.NewBodies(1<<20, transport.BodyRules{Longest: 1 << 20, Stall: time.Second, Lag: time.Second})},
--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -41,12 +41,27 @@
 	writes   bool       // it is written, or has been
 }
 
-// mayWrite tells whether the step may be written now. Once its operation has its final answer, or its client
-// has gone, it may not: it would be sent on after that.
+// settles waits until something may be written on a connection that was used before, or until that has ended
+// or the step is given up.
+func (s *routeStep) settles(conn *transport.Upstream, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	settled := time.NewTimer(wait)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-conn.Over():
+	case <-s.ctx.Done():
+	}
+}
+
+// mayWrite tells whether the step may be written now. Once its operation has its final answer, its client has
+// gone or it was given up, it may not: it would be sent on after that.
 func (s *routeStep) mayWrite() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writes = !s.unwanted
+	s.writes = !s.unwanted && s.ctx.Err() == nil
 	if s.unwanted {
 		s.cancel(core.CalledOff)
 	}
@@ -118,6 +133,7 @@
 type upstreamSettings struct {
 	clock          clock
 	connectTimeout time.Duration
+	settle         time.Duration // see core.SettleTime
 	idleLimit      *idleLimit
 	connects       *connects
 	descriptors    *transport.Descriptors
@@ -184,9 +200,10 @@
 type (
 	moved    struct{ addr netip.AddrPort }
 	stepOver struct {
-		conn *transport.Upstream // nil: closed
-		addr netip.AddrPort      // where it leads
-		sent time.Duration       // where it was reused and gave no answer, of its step; else zero
+		lease  core.Lease[*transport.Upstream]
+		conn   *transport.Upstream // nil: closed
+		unused bool                // it is the lease's, and nothing was written on it
+		sent   time.Duration       // where it was reused and gave no answer, of its step; else zero
 	}
 	idleOver  struct{}
 	connEnded struct{ conn *transport.Upstream }
@@ -197,7 +214,7 @@
 
 func startBooking(set upstreamSettings, addr netip.AddrPort, report func(any)) *booking {
 	b := &booking{set: set, mail: newMailbox[any](), report: report,
-		pool: core.NewPool[*transport.Upstream](addr, set.idleLimit)}
+		pool: core.NewPool[*transport.Upstream](addr, set.idleLimit, set.settle)}
 	go b.mail.receive(b.handle)
 	return b
 }
@@ -216,8 +233,10 @@
 			closing = b.pool.OverSilent(m.sent)
 		case m.conn == nil:
 			b.pool.OverClosed()
+		case m.unused:
+			closing = b.pool.Unused(m.lease, m.conn.Ended())
 		default:
-			closing = b.pool.Over(now, m.conn, m.addr, m.conn.Ended())
+			closing = b.pool.Over(now, m.conn, m.lease.Addr, m.conn.Ended())
 		}
 	case idleOver:
 		b.due = 0
@@ -282,6 +301,7 @@
 	var reuse bool
 	var err error
 	if lease.Reused {
+		step.settles(conn, lease.Settles)
 		reply, reuse, err = exchange()
 		saw.Phase = phaseOf(err)
 	}
@@ -301,10 +321,11 @@
 		}
 	}
 	saw.Spent = step.operation.Rest != nil && step.operation.Rest.Progress().Taken
-	saw.Ours = saw.Ours || saw.Phase == core.Writing && errors.Is(err, transport.ErrClient)
-	over := stepOver{addr: lease.Addr}
+	saw.Ours = saw.Ours || saw.Phase == core.Writing && errors.Is(err, transport.ErrClient) ||
+		saw.Phase == core.Unused && reuse // nothing was tried
+	over := stepOver{lease: lease}
 	if reuse {
-		over.conn = conn
+		over.conn, over.unused = conn, saw.Phase == core.Unused && conn == lease.Conn
 	}
 	if saw.Ending = endingOf(err, step.ctx); saw.Ending == core.OutOfTime {
 		saw.Late = max(time.Since(step.times.Load().until), 0)
--- /dev/null
+++ b/internal/routing/crossings_test.go
@@ -0,0 +1,167 @@
+package routing
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dunestep/decide"
+	"dunestep/internal/core"
+	"dunestep/internal/figures"
+	"dunestep/internal/protocol"
+	"dunestep/internal/transport"
+)
+
+// scene is a booking server's actor before a server that the test plays.
+type scene struct {
+	t       *testing.T
+	clock   clock
+	booking *booking
+	reports chan any
+}
+
+// play begins a scene. The server's side of each connection is served by a goroutine of its own, which is told its
+// number, from 1 on; edit changes what the actor goes by.
+func play(t *testing.T, serve func(n int, c *net.TCPConn), edit func(*upstreamSettings)) *scene {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var served sync.WaitGroup
+	served.Go(func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			served.Go(func() {
+				defer c.Close()
+				serve(n, c.(*net.TCPConn))
+			})
+		}
+	})
+	s := &scene{t: t, clock: newClock(), reports: make(chan any, 16)}
+	set := upstreamSettings{clock: s.clock, connectTimeout: time.Minute, connects: &connects{},
+		idleLimit:   &idleLimit{core: core.NewIdleLimit(s.clock.now(), time.Hour)},
+		descriptors: transport.NewDescriptors(1024, func() {}), figures: figures.New(nil),
+		bodies: transport.NewBodies(1<<20, transport.BodyRules{Longest: 1 << 20, Whole: 1 << 20, Stall: time.Minute,
+			Lag: time.Minute})}
+	if edit != nil {
+		edit(&set)
+	}
+	s.booking = startBooking(set, l.Addr().(*net.TCPAddr).AddrPort(), func(m any) { s.reports <- m })
+	t.Cleanup(func() {
+		require.NoError(t, l.Close())
+		s.booking.mail.put(retire{})
+		served.Wait()
+	})
+	return s
+}
+
+// step prepares a route step that has a minute.
+func (s *scene) step(id string) *routeStep {
+	until := s.clock.now() + time.Minute
+	return newStep(&operation{Operation: &protocol.Operation{Method: http.MethodGet, Target: "/consult",
+		CorrelationID: id, Class: "consult", TimeLeft: time.Minute}}, core.Output{At: until, Deadline: until}, s.clock)
+}
+
+// ended waits for the end of a route step, and returns it with the answer's body.
+func (s *scene) ended() (stepEnded, string) {
+	s.t.Helper()
+	select {
+	case m := <-s.reports:
+		end := m.(stepEnded)
+		if end.reply.Flow == nil {
+			return end, ""
+		}
+		defer end.reply.Flow.Close()
+		body, err := end.reply.Flow.Next()
+		require.NoError(s.t, err)
+		return end, string(body)
+	case <-time.After(time.Minute):
+		require.Fail(s.t, "the step does not end")
+		return stepEnded{}, ""
+	}
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+func answerOf(id string) string { return fmt.Sprintf(answerHead, len(id), id) }
+
+// A second answer comes late, when the next route step has got its connection already: it is nobody's. The next one
+// waits until the connection has settled, and goes out on another one when something comes meanwhile. The server
+// writes the second answer as soon as it has read the next request, else so much later.
+func TestSecondAnswerComesLate(t *testing.T) {
+	const late = 100 * time.Millisecond
+	s := play(t, func(n int, c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		own := answerOf(r.Header.Get("X-Correlation-Id"))
+		_, _ = io.WriteString(c, own)
+		if n > 1 {
+			return
+		}
+		came := make(chan struct{})
+		go func() {
+			defer close(came)
+			if r, err := http.ReadRequest(in); err == nil {
+				_, _ = io.WriteString(c, own+answerOf(r.Header.Get("X-Correlation-Id")))
+			}
+		}()
+		select {
+		case <-came:
+		case <-time.After(late):
+			_, _ = io.WriteString(c, own)
+			<-came // it is closed
+		}
+	}, func(set *upstreamSettings) { set.settle = time.Minute })
+	s.booking.mail.put(s.step("000000000000000a"))
+	_, body := s.ended()
+	require.Equal(t, "000000000000000a", body)
+	s.booking.mail.put(s.step("000000000000000b"))
+	end, body := s.ended()
+	require.Equal(t, decide.Served, end.saw.Outcome())
+	require.Equal(t, "000000000000000b", body, "not another's")
+}
+
+// A route step that is given up while its connection settles is not sent on, and the connection stays as it was: the
+// time that it has stood idle goes on.
+func TestGivenUpWhileTheConnectionSettles(t *testing.T) {
+	came := make(chan string, 4)
+	s := play(t, func(_ int, c *net.TCPConn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			came <- r.Header.Get("X-Correlation-Id")
+			_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
+		}
+	}, func(set *upstreamSettings) { set.settle = time.Minute })
+	s.booking.mail.put(s.step("000000000000000a"))
+	s.ended()
+	for _, c := range []struct {
+		end  func(*routeStep)
+		want decide.Outcome
+	}{
+		{(*routeStep).unwant, decide.CalledOff},
+		{func(r *routeStep) { r.cancel(core.CalledOff) }, decide.CalledOff},
+		{func(r *routeStep) { r.cancel(core.OutOfTime) }, decide.NoConnection},
+	} {
+		step := s.step("000000000000000b")
+		s.booking.mail.put(step)
+		c.end(step)
+		end, _ := s.ended()
+		require.Equal(t, c.want, end.saw.Outcome())
+		require.True(t, end.saw.Ours || c.want == decide.CalledOff, "no fault of the booking server")
+	}
+	require.Len(t, came, 1)
+}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -48,6 +48,7 @@
 	in      *bufio.Reader
 	replies chan reply
 	ended   func(*Upstream)
+	over    chan struct{} // closed when nothing is read any more
 	release func()
 
 	mu     sync.Mutex
@@ -101,7 +102,7 @@
 func newUpstream(conn net.Conn, server string, bodies *Bodies, release func(),
 	ended func(*Upstream)) (*Upstream, error) {
 	u := &Upstream{conn: conn, server: server, bodies: bodies, ended: ended, replies: make(chan reply, 1),
-		release: sync.OnceFunc(release), limit: io.LimitedReader{R: conn}}
+		over: make(chan struct{}), release: sync.OnceFunc(release), limit: io.LimitedReader{R: conn}}
 	var err error
 	if u.raw, err = conn.(syscall.Conn).SyscallConn(); err != nil {
 		u.Close()
@@ -118,6 +119,9 @@
 	u.release()
 }
 
+// Over is closed once the connection has ended, or something has come on it while no route step was.
+func (u *Upstream) Over() <-chan struct{} { return u.over }
+
 // Ended tells whether the connection has ended while no route step was on it.
 func (u *Upstream) Ended() bool {
 	u.mu.Lock()
@@ -296,6 +300,7 @@
 // read passes on one reply for each route step. What comes or ends at another time breaks the connection; it
 // is not read, so that begin sees it too, however late this goroutine runs.
 func (u *Upstream) read() {
+	defer close(u.over)
 	for {
 		err := u.raw.Read(readable)
 		u.mu.Lock()
