Clients' connections end by a shutdown: no reset destroys an answer, no request is cut

Seen: a close over bytes that were not read resets the connection, and the client's machine throws away what it has not taken of the answer before. At fault: frontConn.Close, which lingered only where an error had been answered early, and evict, which closed the system's connection at once. Ruled out: that the look of endsGently is enough (bytes come between look and close), and that net/http lingers (only for bodies cut off).

Changed: Close tells the client that no more comes, reads and throws away what it still sends for a second at most, then closes. Nothing read after that is a request. evict does the same, looks for a request that has come first, and closes at once only what has already been told for 150 ms. Empty lines between requests begin none.

The stand-in's client told "not read" by a reset alone. An end in good order between requests may now be a crossing as well; in its place whoever uses it holds that nothing of the first copy was sent on: the callers of TestRestartUnderOpenConnections mark the copy that is sent again and count any other that reached a booking server, or an end later than a second after the request, as lost; the live rehearsal's world takes it for lost if anything of it was sent on.

--- a/cmd/dunestep/leaving_test.go
+++ b/cmd/dunestep/leaving_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"path"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,9 +41,20 @@
 	ends   map[string]int // of the requests
 	unsent []string       // ids of those that failed, or whose new connection was closed with no answer
 	lost   []string       // how requests ended that were owed an answer
-	resent int
+	// crossed are the ids of those whose connection was closed as they were sent: nothing of them may have been
+	// sent on but what is marked as sent again.
+	crossed map[string]bool
 }
 
+// What a request's query says.
+const (
+	hanging = "hangs"  // the booking server does not answer
+	again   = "&again" // it is sent once more
+)
+
+// crossesWithin is how soon after a request its connection ends if the two have crossed.
+const crossesWithin = time.Second
+
 // heard is what comes of a connection: an answer, or its end.
 type heard struct {
 	*http.Response
@@ -52,7 +64,8 @@
 
 // callers has clients begin to send.
 func (w *world) callers(clients int, think func() time.Duration) *callers {
-	c := &callers{w: w, think: think, over: make(chan struct{}), ends: map[string]int{}}
+	c := &callers{w: w, think: think, over: make(chan struct{}), ends: map[string]int{},
+		crossed: map[string]bool{}}
 	c.dials.Store(true)
 	for range clients {
 		c.wait.Go(c.client)
@@ -99,18 +112,18 @@
 	if n := rand.N(4); n > 0 {
 		class, method, body = "rezervare", "POST", long([]int{20, 60_000, 200_000}[n-1], id)
 	}
-	query := ""
+	query, key := "", rand.N(1000)
 	if hangs {
-		query = "?hangs"
-	}
-	request := fmt.Appendf(nil, "%s /%s/%d%s HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %s\r\n"+
-		"X-Account: acme\r\nCookie: sid=%x\r\nX-Time-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, class, size, query, id, rand.N(1000), left, len(body), body)
-	rest := len(request)
-	if late > 0 {
-		rest -= len(body) / 2
+		query = hanging
 	}
-	for used := conn != nil; ; used = false {
+	for used := conn != nil; ; used, query = false, query+again {
+		request := fmt.Appendf(nil, "%s /%s/%d?%s HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %s\r\n"+
+			"X-Account: acme\r\nCookie: sid=%x\r\nX-Time-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			method, class, size, query, id, key, left, len(body), body)
+		rest := len(request)
+		if late > 0 {
+			rest -= len(body) / 2
+		}
 		if used {
 			conn.Ask(request[:rest])
 		} else {
@@ -132,9 +145,12 @@
 		case <-time.After(until + time.Second):
 			conn.Close()
 		}
+		if used && time.Since(sent) > crossesWithin {
+			h.unread = false // it was taken, and then dropped
+		}
 		if h.Response == nil && h.unread && used {
 			c.mu.Lock()
-			c.resent++
+			c.crossed[id] = true
 			c.mu.Unlock()
 			if c.dials.Load() {
 				continue
@@ -181,7 +197,11 @@
 	reached := map[string]bool{}
 	for _, s := range c.w.servers {
 		for _, st := range s.steps() {
-			reached[idOf(st)] = true
+			id := idOf(st)
+			reached[id] = true
+			if c.crossed[id] && !strings.Contains(st.URL.RawQuery, again) {
+				c.lost = append(c.lost, "sent on, though it crossed a close: "+id)
+			}
 		}
 	}
 	unsent := 0
@@ -190,7 +210,7 @@
 			unsent++
 		}
 	}
-	c.w.t.Logf("%d asked: %v, %d sent again, %d ended unsent", c.asked, c.ends, c.resent, unsent)
+	c.w.t.Logf("%d asked: %v, %d sent again, %d ended unsent", c.asked, c.ends, len(c.crossed), unsent)
 	if len(c.lost) > 0 || float64(unsent) > unsentShare*float64(c.asked) {
 		return fmt.Errorf("lost %v, %d of %d unsent", c.lost, unsent, c.asked)
 	}
@@ -222,7 +242,7 @@
 		}
 		w.each(func(s step) string {
 			wait := 50*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(300*time.Millisecond))
-			if s.URL.RawQuery != "" {
+			if strings.HasPrefix(s.URL.RawQuery, hanging) {
 				wait = patience // longer than any client waits
 			}
 			time.Sleep(wait)
--- a/internal/rehearsal/world/remote.go
+++ b/internal/rehearsal/world/remote.go
@@ -293,7 +293,8 @@
 	}))
 }
 
-// Lost tells that an agent has ended a connection. Unread: it had not read what was on it.
+// Lost tells that an agent has ended a connection. Unread: it had not read what was on it, or may not have;
+// what it has sent on it has read.
 func (v *Live) Lost(f *FrontConn, unread bool) {
 	v.post(called(func() {
 		f.close()
@@ -304,7 +305,7 @@
 		}
 		f.trying = nil
 		delete(t.life.operations, t.op)
-		if unread {
+		if unread && t.sends == 0 {
 			t.untakenRemote()
 			return
 		}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -22,6 +22,7 @@
 	mu     sync.Mutex
 	conn   *net.TCPConn // nil: not up yet
 	asked  bool         // a request is out
+	used   bool         // it has carried an answer
 	closed bool
 }
 
@@ -30,8 +31,9 @@
 
 // Dial connects to an agent and writes a request, without waiting for either. Answered is told each whole
 // answer; ended, once, that the connection has ended otherwise than by Close. Unread: it can be told that
-// the agent has not read the request that was out, if one was. Both are called from a goroutine of the
-// connection's.
+// the agent has not read the request that was out, if one was, or the connection has ended between requests
+// in good order, and the request may have crossed that. Then nothing of it may have been sent on, which is
+// for the caller to look at. Both are called from a goroutine of the connection's.
 func Dial(addr string, request []byte, answered func(*http.Response, []byte),
 	ended func(unread bool)) *Client {
 	c := &Client{answered: answered, ended: ended, asked: true, up: make(chan struct{})}
@@ -106,7 +108,7 @@
 			return
 		}
 		c.mu.Lock()
-		c.asked = false
+		c.asked, c.used = false, true
 		c.mu.Unlock()
 		c.answered(r, body)
 	}
@@ -118,12 +120,12 @@
 // over tells of the connection's end. Nothing: no byte of an answer has come.
 func (c *Client) over(err error, nothing bool) {
 	c.mu.Lock()
-	asked, closed := c.asked, c.closed
+	asked, used, closed := c.asked, c.used, c.closed
 	c.mu.Unlock()
 	if closed {
 		return
 	}
-	unread := !asked || nothing && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+	unread := !asked || nothing && (used || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 	if asked && nothing && !unread {
 		time.Sleep(resetsWithin)
 		unread = c.broken()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -109,8 +109,9 @@
 }
 
 // What a client makes of the end of its connection: an agent that has not read a request resets, and one that has
-// ends without a word.
+// ends without a word. Between requests an end without a word may have crossed the request.
 func TestUnread(t *testing.T) {
+	const answered = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
 		agent  func(net.Conn)
 		unread bool
@@ -120,6 +121,21 @@
 			_, _ = http.ReadRequest(bufio.NewReader(c))
 			_ = c.Close()
 		}, false},
+		"between requests": {func(c net.Conn) {
+			in := bufio.NewReader(c)
+			_, _ = http.ReadRequest(in)
+			_, _ = io.WriteString(c, answered)
+			_, _ = http.ReadRequest(in)
+			_ = c.Close()
+		}, true},
+		"begun between requests": {func(c net.Conn) {
+			in := bufio.NewReader(c)
+			_, _ = http.ReadRequest(in)
+			_, _ = io.WriteString(c, answered)
+			_, _ = http.ReadRequest(in)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nboo")
+			_ = c.Close()
+		}, false},
 		"begun": {func(c net.Conn) {
 			_, _ = http.ReadRequest(bufio.NewReader(c))
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nboo")
@@ -132,8 +148,13 @@
 			defer l.Close()
 			request := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 			ended := make(chan bool, 1)
-			client := Dial(l.Addr().String(), []byte(request), func(*http.Response, []byte) { t.Error("answered") },
-				func(unread bool) { ended <- unread })
+			var client *Client
+			dialled := make(chan struct{})
+			client = Dial(l.Addr().String(), []byte(request), func(*http.Response, []byte) {
+				<-dialled
+				client.Ask([]byte(request))
+			}, func(unread bool) { ended <- unread })
+			close(dialled)
 			defer client.Close()
 			agent, err := l.Accept()
 			require.NoError(t, err)
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -53,11 +53,14 @@
 	return d.core.Crowded()
 }
 
-// takeFront waits until the front may hold one more, or closed is. Evict closes a client's connection on
-// which nothing is open, and is told whether descriptors are so short that one that just stands there must
-// do.
+// takeFront waits until the front may hold one more, or closed is. Evict ends a client's connection on which
+// nothing is open, and is told whether descriptors are so short that one that just stands there must do.
 func (d *Descriptors) takeFront(closed <-chan struct{}, evict func(short bool) bool) bool {
 	for {
+		select {
+		case <-d.freed: // told of what tryFront sees
+		default:
+		}
 		ok, full := d.tryFront()
 		if ok {
 			if full {
@@ -65,14 +68,13 @@
 			}
 			return true
 		}
-		if evict(true) {
-			continue
-		}
-		d.frontFull.warn("no descriptor is free", "for", "a client")
-		if !full {
-			d.reclaim()
+		if !evict(true) {
+			d.frontFull.warn("no descriptor is free", "for", "a client")
+			if !full {
+				d.reclaim()
+			}
 		}
-		again := time.NewTimer(evictAgain) // by then another connection may be old enough
+		again := time.NewTimer(evictAgain) // by then another connection may be old enough, or one has to do
 		select {
 		case <-d.freed:
 		case <-again.C:
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -25,7 +24,8 @@
 	silentBefore = 150 * time.Millisecond
 	// stuckBefore is the same for a request that has begun and does not get on.
 	stuckBefore = time.Second
-	// lingerWait is how long what a client still sends is read and thrown away after an error.
+	// lingerWait is how long what a client still sends is read and thrown away once it was told that no more
+	// comes.
 	lingerWait = time.Second
 )
 
@@ -37,7 +37,7 @@
 	connReading                  // a request is coming
 	connBusy                     // an operation is out, or its answer is being written
 	connIdle                     // answered
-	connEnding                   // an error was answered, the rest is thrown away
+	connEnding                   // its client was told that no more comes; what it sends is thrown away
 	connClosed
 )
 
@@ -58,15 +58,16 @@
 	resumed time.Time // since when it is read again
 	gentle  bool      // to be ended unless something has come
 	cut     bool      // what is left of the present body was to be waited for no more
-	linger  bool      // an error was answered while the client may still be sending
+	hasty   bool      // Close does not wait for the client's end
+	handled int       // requests that have been turned to
 	framing framing
 	// standing looks whether the connection has stood idle for long enough to be closed. It runs on while a
 	// request is out: to stop it and to begin anew with each would cost more than to look in vain.
 	standing *time.Timer
 }
 
-// Read follows the framing of what comes. A connection that was evicted meanwhile gives nothing any more: a
-// request that crossed the close was never read, and its client sends it again.
+// Read follows the framing of what comes. A connection whose client was told that no more comes gives nothing
+// any more: a request that crosses that was never read, and its client sends it again.
 func (c *frontConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.cutInVain() || !c.endsGently()) {
@@ -78,7 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
-	case connClosed:
+	case connClosed, connEnding:
 		return 0, net.ErrClosed
 	case connSilent, connIdle:
 		c.enter(connReading)
@@ -88,17 +89,9 @@
 	return n, err
 }
 
-// Write notes answers that are given before the request came whole, by the library too.
-func (c *frontConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	c.linger = c.linger || c.state == connReading
-	c.mu.Unlock()
-	return c.Conn.Write(b)
-}
-
 // enter changes the state; mu is held.
 func (c *frontConn) enter(s connState) {
-	if c.state != connClosed {
+	if c.state != connClosed && c.state != connEnding {
 		c.state, c.since, c.inBody = s, time.Now(), false
 	}
 }
@@ -109,6 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inBody = true
+	c.handled++
 	until = c.since.Add(requestWait)
 	if first := c.opened.Add(requestWait); c.framing.heads <= 1 && first.Before(until) {
 		until = first
@@ -176,29 +170,46 @@
 	defer c.mu.Unlock()
 	began = c.came
 	c.enter(connBusy)
-	c.linger = false
 	return began
 }
 
-// closeWith announces a close with the answer where the connection is to give way. Guards against clients
-// that ask once and keep their connection: where they come in numbers, there is no time to let each stand
-// idle first. Clients that have asked again keep theirs for longer.
-func (c *frontConn) closeWith(answer http.Header) {
+// givesWay tells whether the connection is to be closed after its answer. Guards against clients that ask
+// once and keep their connection: where they come in numbers, there is no time to let each stand idle first.
+// Clients that have asked again keep theirs for longer.
+func (c *frontConn) givesWay() bool {
 	crowded, pressing := c.front.descriptors.frontCrowded()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if pressing || crowded && c.framing.heads <= 1 {
-		answer.Set("Connection", "close")
-	}
+	return pressing || crowded && c.framing.heads <= 1
+}
+
+// nextCame tells whether something of the request after the present one has come. Guards against a close
+// after an answer that takes a pipelined request along.
+func (c *frontConn) nextCame() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nextRead() || c.framing.body == 0 && c.hasInput()
+}
+
+// nextRead tells whether something of the request after the present one was read; mu is held.
+func (c *frontConn) nextRead() bool { return c.framing.heads > c.handled }
+
+// hasInput tells whether the machine has something from the client that was not read, its end included.
+func (c *frontConn) hasInput() (has bool) {
+	err := c.raw.Control(func(fd uintptr) { has = readable(fd) })
+	return err == nil && has
 }
 
 // idle tells that an answer was written.
 func (c *frontConn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.nextRead() {
+		c.enter(connReading)
+		return
+	}
 	c.enter(connIdle)
-	c.linger = false
-	if c.state == connClosed {
+	if c.state != connIdle {
 		return
 	}
 	if c.standing == nil {
@@ -218,39 +229,53 @@
 	}
 }
 
-// Close ends the connection. Guards against an error that never arrives: a close with unread input resets the
-// connection, and the client's machine throws the answer away. So the client is told that no more comes, and
-// what it still sends is read, for a while.
+// Close ends the connection. Guards against an answer that never arrives: a close over unread input resets
+// the connection, and the client's machine throws the answer away. So the client is told that no more comes,
+// and what it still sends is read, for a while.
 func (c *frontConn) Close() error {
 	c.mu.Lock()
-	linger := c.linger && c.state != connClosed
-	c.linger = false
-	if linger {
-		c.enter(connEnding)
-	}
+	lingers := c.shut()
 	c.mu.Unlock()
-	if linger {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerWait))
-		if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-			_, _ = io.Copy(io.Discard, tcp)
-		}
+	if lingers {
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 	}
 	err := c.Conn.Close()
 	c.forget()
 	return err
 }
 
+// shut tells the client that no more comes, and has what it still sends be no request; mu is held. False: the
+// connection is closed, or to be closed at once.
+func (c *frontConn) shut() bool {
+	if c.hasty || c.state == connClosed {
+		return false
+	}
+	if c.state != connEnding {
+		c.enter(connEnding)
+		_ = c.CloseWrite()
+	}
+	return c.Conn.SetReadDeadline(c.since.Add(lingerWait)) == nil
+}
+
 // forsake has the close throw away what is written and not yet taken. Guards against a client that does not
 // read: the kernel would hold that for as long as the client pleases.
 func (c *frontConn) forsake() {
+	c.hurry()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// hurry has Close wait for nothing.
+func (c *frontConn) hurry() {
+	c.mu.Lock()
+	c.hasty = true
+	c.mu.Unlock()
+}
+
 // CloseWrite is there for the library, which calls it before it waits a while and closes.
 func (c *frontConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
 	return nil
@@ -269,19 +294,23 @@
 	}
 }
 
-// evict closes the connection if it is still as it was when it was chosen.
+// evict ends the connection if it is still as it was when it was chosen, and nothing has come on it: first
+// its client is told that no more comes, and if it does not end it then, it is closed.
 func (c *frontConn) evict(s connState, since time.Time) bool {
 	c.mu.Lock()
-	same := c.state == s && c.since.Equal(since)
-	if same {
-		c.state = connClosed
-	}
-	c.mu.Unlock()
-	if same {
-		_ = c.Conn.Close()
-		c.front.forget(c)
+	defer c.mu.Unlock()
+	switch {
+	case c.state != s || !c.since.Equal(since):
+		return false
+	case s == connEnding:
+		c.hasty = true
+		_ = c.Conn.SetReadDeadline(time.Now()) // its reader closes it
+		return true
+	case c.hasInput():
+		c.enter(connReading)
+		return false
 	}
-	return same
+	return c.shut()
 }
 
 // spare tells how readily the connection can be given up, if at all, and what it is at. Above zero only where
@@ -292,6 +321,7 @@
 	age := now.Sub(c.since)
 	rank = -1
 	switch {
+	case c.hasty: // it is on its way
 	case (c.state == connIdle || c.state == connSilent) && age >= idleBefore:
 		rank = 0
 	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
@@ -349,9 +379,10 @@
 	return c, nil
 }
 
-// evict closes the connection that is missed least, and tells whether there was one. Guards against clients
-// that connect and say nothing, ask once and stay, or never finish: they would keep all others out. With
-// short false, only those count that have stood idle.
+// evict ends the connection that is missed least, and tells whether there was one; its descriptor is free
+// once its client has ended it too, or has had the time to. Guards against clients that connect and say
+// nothing, ask once and stay, or never finish: they would keep all others out. With short false, only those
+// count that have stood idle.
 func (l *clients) evict(short bool) bool {
 	now := time.Now()
 	var chosen *frontConn
@@ -429,6 +460,10 @@
 			continue
 		}
 		if !f.started {
+			if b[0] == '\r' || b[0] == '\n' { // some clients end a body so
+				b = b[1:]
+				continue
+			}
 			f.started = true
 			f.heads++
 		}
--- a/internal/transport/leaving.go
+++ b/internal/transport/leaving.go
@@ -101,13 +101,14 @@
 // Close ends all at once.
 func (f *Front) Close() {
 	f.StopListening()
+	f.clients.hurry()
 	_ = f.server.Close()
 }
 
-// closeWith announces a close with the answer where the connection is to give way.
+// closeWith announces a close with the answer where the connection is to give way, or clients are sent away,
+// unless its next request is already coming: that one is served before.
 func (f *Front) closeWith(c *frontConn, answer http.Header) {
-	c.closeWith(answer)
-	if f.Leaving() {
+	if (f.Leaving() || c.givesWay()) && !c.nextCame() {
 		answer.Set("Connection", "close")
 	}
 }
@@ -128,6 +129,15 @@
 	}
 }
 
+// hurry has every connection's Close wait for nothing.
+func (l *clients) hurry() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.hurry()
+	}
+}
+
 func (l *clients) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,9 +166,7 @@
 	if !gentle {
 		return true
 	}
-	something := false
-	err := c.raw.Control(func(fd uintptr) { something = readable(fd) })
-	if err == nil && something {
+	if c.hasInput() {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(requestWait))
 		return false
 	}
