A pipelined request's time runs from when it came, not from when it was read

Seen: a request that comes while the one before it is out stays with the system until that is answered, and its client's time began only then: with a second of waiting behind the first, the answer to the second was given up to a second after its client's time. At fault: frontConn.Read and taken, which took the moment of the read for the moment of coming. Ruled out: that the time of the latest bytes would do for requests that were read together (a later one's first byte moves it on).

Changed: what is found waiting at a Read counts as come when all before it had been read; when each request came whole is kept until it is answered. Only connections on which something came early pay for a look at the socket.

Seen failing: without the look ("its time runs from when it was turned to") and without the kept times ("from when another came").

--- a/internal/transport/front_crossings_test.go
+++ b/internal/transport/front_crossings_test.go
@@ -106,6 +106,7 @@
 // asked is an operator that notes what it is asked, and answers when it may.
 type asked struct {
 	count  atomic.Int32
+	sent   atomic.Pointer[time.Time] // since when the latest one's client counts its time
 	answer protocol.Answer
 	came   chan struct{} // nil: nobody waits for one
 	may    chan struct{} // nil: at once
@@ -113,6 +114,7 @@
 
 func (a *asked) Operate(ctx context.Context, op *protocol.Operation) (protocol.Answer, bool) {
 	a.count.Add(1)
+	a.sent.Store(&op.Sent)
 	if a.came != nil {
 		a.came <- struct{}{}
 	}
@@ -421,3 +423,41 @@
 	defer c.front.mu.Unlock()
 	return c.front.nextRead()
 }
+
+// A request comes while the one before is out: its client's time runs from then, not from when it is turned to. So does
+// that of a third one, which is read together with the second.
+func TestPipelinedRequestsTimeRunsFromWhenTheyCame(t *testing.T) {
+	x := newCrossing(t, 1024, &asked{came: make(chan struct{}), may: make(chan struct{})})
+	c := x.connect()
+	x.send(c, crossingRequest)
+	waitFor(t, x.operator.came)
+	x.send(c, crossingRequest+crossingRequest)
+	x.until("begun", c.nextBegun)
+	there := time.Now()
+	next := func() time.Time {
+		x.operator.may <- struct{}{}
+		x.answer(c)
+		waitFor(t, x.operator.came)
+		return *x.operator.sent.Load()
+	}
+	require.True(t, next().Before(there), "the second one's time runs from when it was turned to")
+	x.send(c, crossingRequest)
+	x.until("the fourth begun", func() bool {
+		c.front.mu.Lock()
+		defer c.front.mu.Unlock()
+		return c.front.framing.heads == 4
+	})
+	require.True(t, next().Before(there), "the third one's time runs from when another came")
+	fourth := next()
+	require.True(t, fourth.After(there), "the fourth one's time runs from when others came")
+	require.True(t, fourth.Before(time.Now()))
+	x.operator.may <- struct{}{}
+	x.answer(c)
+	x.idle(c)
+	before := time.Now()
+	x.send(c, crossingRequest) // by itself
+	waitFor(t, x.operator.came)
+	require.True(t, x.operator.sent.Load().After(before))
+	x.operator.may <- struct{}{}
+	x.answer(c)
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -53,7 +53,9 @@
 	state   connState
 	since   time.Time // of the state
 	inBody  bool      // of connReading: the head has come
-	came    time.Time // the latest bytes
+	came    time.Time // the latest bytes; of those that a Read found there, the earliest moment
+	behind  bool      // something came before it was turned to, and the machine may have more of it
+	emptied time.Time // of behind: when the machine had no more
 	held    bool      // nothing is read: the request waits for memory on this side
 	resumed time.Time // since when it is read again
 	gentle  bool      // to be ended unless something has come
@@ -69,6 +71,7 @@
 // Read follows the framing of what comes. A connection whose client was told that no more comes gives nothing
 // any more: a request that crosses that was never read, and its client sends it again.
 func (c *frontConn) Read(b []byte) (int, error) {
+	waited := c.waits()
 	n, err := c.Conn.Read(b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (c.cutInVain() || !c.endsGently()) {
 		n, err = c.Conn.Read(b)
@@ -84,11 +87,33 @@
 	case connSilent, connIdle:
 		c.enter(connReading)
 	}
-	c.came = time.Now()
-	c.framing.follow(b[:n])
+	c.arrived(waited, n < len(b))
+	c.framing.follow(b[:n], c.came)
 	return n, err
 }
 
+// waits tells whether something that came before it was turned to waits to be read.
+func (c *frontConn) waits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.behind && c.hasInput()
+}
+
+// arrived notes when what was read has come: now, or, where it waited to be read, since all before it was
+// read; mu is held.
+func (c *frontConn) arrived(waited, all bool) {
+	c.came = time.Now()
+	now := c.came
+	if waited {
+		c.came = c.emptied
+	} else {
+		c.behind = false
+	}
+	if all {
+		c.emptied = now
+	}
+}
+
 // enter changes the state; mu is held.
 func (c *frontConn) enter(s connState) {
 	if c.state != connClosed && c.state != connEnding {
@@ -169,6 +194,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	began = c.came
+	if len(c.framing.ends) > 0 {
+		began = c.framing.ends[0]
+	}
 	c.enter(connBusy)
 	return began
 }
@@ -204,7 +232,11 @@
 func (c *frontConn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.framing.ends) > 0 {
+		c.framing.ends = append(c.framing.ends[:0], c.framing.ends[1:]...)
+	}
 	if c.nextRead() {
+		c.behind, c.emptied = true, c.came
 		c.enter(connReading)
 		return
 	}
@@ -443,6 +475,7 @@
 	heads            int      // begun so far
 	started          bool     // a head has begun
 	framed           framed
+	ends             []time.Time // when those came whole that are not answered yet
 }
 
 const (
@@ -451,12 +484,14 @@
 	maxLength  = 1 << 40
 )
 
-func (f *framing) follow(b []byte) {
+// follow follows what came at a time.
+func (f *framing) follow(b []byte, at time.Time) {
 	for len(b) > 0 && f.framed == framedByLength {
 		if f.body > 0 {
 			skip := min(f.body, int64(len(b)))
 			f.body -= skip
 			b = b[skip:]
+			f.ended(at)
 			continue
 		}
 		if !f.started {
@@ -469,6 +504,14 @@
 		}
 		f.take(b[0])
 		b = b[1:]
+		f.ended(at)
+	}
+}
+
+// ended notes when a request has come whole.
+func (f *framing) ended(at time.Time) {
+	if !f.started && f.body == 0 && f.framed == framedByLength {
+		f.ends = append(f.ends, at)
 	}
 }
 
