--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -54,6 +54,7 @@
 	case <-conn.Over():
 	case <-s.ctx.Done():
 	}
+	s.sent = time.Now() // the booking server's time does not run before
 }
 
 // mayWrite tells whether the step may be written now. Once its operation has its final answer, its client has
