Connections rest 10 ms after an answer, not 25

Changed: SettleTime is 10 ms, what "some milliseconds" can mean at most. What the rest costs grows with its square.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -10,11 +10,10 @@
 // SettleTime is how long a connection rests after its answer before the next route step is written on it. A
 // booking server may answer twice, the second time "some milliseconds" late, and nothing in an answer tells
 // which request it is for: what comes while no step is on the connection ends it, what comes later would be
-// taken for the next one's answer. Ten milliseconds are some; as many again are for what the way adds, and five
-// for a machine that is busy. One in twenty steps waits, for half of it on the mean, where an agent sends a
-// booking server two requests a second; a connection in its place would cost both sides a handshake, and is
+// taken for the next one's answer. Some milliseconds are under ten. What it costs grows with its square, as
+// more steps wait and each for longer; a connection in its place would cost both sides a handshake, and is
 // priced.
-const SettleTime = 25 * time.Millisecond
+const SettleTime = 10 * time.Millisecond
 
 // Pool is a booking server's actor without its mailbox: it owns the connections that wait for their next
 // route step, and knows how many route steps are out. C is a connection as its owner knows it. Inputs return
