--- a/internal/transport/front_crossings_test.go
+++ b/internal/transport/front_crossings_test.go
@@ -336,11 +336,7 @@
 	for name, end := range map[string]func(*crossing, *client){
 		"sweep": func(x *crossing, c *client) {
 			x.front.Leave(0, true)
-			x.until("to be ended", func() bool {
-				c.front.mu.Lock()
-				defer c.front.mu.Unlock()
-				return c.front.gentle
-			})
+			x.until("to be ended", c.front.ends)
 		},
 		"evicted": func(_ *crossing, c *client) {
 			_, state, since := c.front.spare(time.Now())
@@ -418,6 +414,38 @@
 	require.EqualValues(t, 2, x.operator.count.Load())
 }
 
+// The same where it is the first one on its connection, or one on a connection that stood idle: what is begun is not
+// closed as clients are sent away.
+func TestBegunRequestsAreNotSentAway(t *testing.T) {
+	for name, used := range map[string]bool{"first": false, "next": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newCrossing(t, 1024, &asked{})
+			c := x.connect()
+			if used {
+				x.send(c, crossingRequest)
+				x.answer(c)
+				x.idle(c)
+			}
+			half := len(crossingRequest) / 2
+			x.send(c, crossingRequest[:half])
+			x.until("reading", func() bool { return c.front.is(connReading) })
+			x.front.Leave(0, true)
+			x.front.clients.endIdle(true)
+			require.False(t, c.front.ends())
+			x.send(c, crossingRequest[half:])
+			require.True(t, x.answer(c).Close)
+			x.ends(c)
+		})
+	}
+}
+
+// ends tells whether the connection is to be ended.
+func (c *frontConn) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gentle
+}
+
 func (c *client) nextBegun() bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
