--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -22,6 +22,9 @@
 	// silentBefore is the same where descriptors are short and nothing was ever said on it: a client that means
 	// to ask does so right after connecting.
 	silentBefore = 150 * time.Millisecond
+	// toldBefore is how long a client that gives way has to end its connection once it was told to, where
+	// another waits for the descriptor.
+	toldBefore = 20 * time.Millisecond
 	// stuckBefore is the same for a request that has begun and does not get on.
 	stuckBefore = time.Second
 	// lingerWait is how long what a client still sends is read and thrown away once it was told that no more
@@ -61,6 +64,7 @@
 	gentle  bool      // to be ended unless something has come
 	cut     bool      // what is left of the present body was to be waited for no more
 	hasty   bool      // Close does not wait for the client's end
+	gaveWay bool      // it was evicted as nothing was open on it
 	handled int       // requests that have been turned to
 	framing framing
 	// standing looks whether the connection has stood idle for long enough to be closed. It runs on while a
@@ -342,6 +346,7 @@
 		c.enter(connReading)
 		return false
 	}
+	c.gaveWay = s != connReading
 	return c.shut()
 }
 
@@ -354,6 +359,8 @@
 	rank = -1
 	switch {
 	case c.hasty: // it is on its way
+	case c.state == connEnding && c.gaveWay && age >= toldBefore:
+		rank = 0
 	case (c.state == connIdle || c.state == connSilent) && age >= idleBefore:
 		rank = 0
 	case c.state == connEnding && age >= silentBefore, c.state == connSilent && age >= silentBefore:
