A request that came whole while its connection was coming up: the server is told what is left

Lines at fault: routeStep.after, which retime left as it was, in exchange (internal/routing/booking.go). It comes with connections that come up late, up to the connect timeout beyond what is left; reused connections did so only while they settled. Ruled out: requests that are held whole (their wait is computed after the dial). Changed: what is told belongs to the step's times, which retime sets anew. Also tests of crossings: a step is not begun again on a new connection for nobody; a reused connection that ended after it was given out.

--- a/internal/routing/booking.go
+++ b/internal/routing/booking.go
@@ -31,7 +31,6 @@
 	sent      time.Time
 	written   time.Time // its last byte; zero: not yet
 	times     atomic.Pointer[stepTimes]
-	after     time.Duration   // where the operation is still coming: how long it is waited for from its end on
 	ctx       context.Context // ends when the step is given up; the cause is a core.Ending
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer // gives it up; the module's actor's
@@ -92,13 +91,22 @@
 
 // stepTimes are until when a route step lasts. They change when an operation has come whole.
 type stepTimes struct {
-	until    time.Time // when it is given up, unless its answer has begun
-	deadline time.Time // of the operation's final answer
+	until    time.Time     // when it is given up, unless its answer has begun
+	deadline time.Time     // of the operation's final answer
+	after    time.Duration // while the operation is still coming: how long it is waited for from its end on
 }
 
-// retime sets them anew.
+// wait is how long the route step is waited for, as a booking server is told that gets it now.
+func (t *stepTimes) wait() time.Duration {
+	if t.after > 0 {
+		return t.after
+	}
+	return time.Until(t.until)
+}
+
+// retime sets them anew, as the operation has come whole.
 func (s *routeStep) retime(until, deadline time.Time) {
-	s.times.Store(&stepTimes{until, deadline})
+	s.times.Store(&stepTimes{until: until, deadline: deadline})
 	if s.timer.Stop() { // else its time is up
 		s.timer.Reset(time.Until(until))
 	}
@@ -107,9 +115,9 @@
 // newStep prepares a route step that the core has asked for.
 func newStep(o *operation, start core.Output, c clock) *routeStep {
 	s := &routeStep{operation: o, attempt: start.Attempt, server: start.Server, streamed: start.Begins,
-		sent: time.Now(), after: start.After}
+		sent: time.Now()}
 	until := c.time(start.At)
-	s.times.Store(&stepTimes{until, c.time(start.Deadline)})
+	s.times.Store(&stepTimes{until, c.time(start.Deadline), start.After})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s.ctx = ctx
 	s.timer = time.AfterFunc(until.Sub(s.sent), func() { cancel(core.OutOfTime) })
@@ -283,11 +291,7 @@
 		if !step.mayWrite() {
 			return protocol.Reply{}, true, transport.ErrUnused // the connection is as good as before
 		}
-		wait := step.after
-		if wait == 0 {
-			wait = time.Until(step.times.Load().until) // after the dial
-		}
-		op := step.operation.Operation
+		op, wait := step.operation.Operation, step.times.Load().wait() // after the dial
 		return conn.Exchange(step.ctx, transport.Step{Head: protocol.AppendRouteStep(nil, op, wait), Body: op.Body,
 			Rest: op.Rest, Chunked: op.Length < 0,
 			AtOnce: step.streamed, GraphQL: op.GraphQL,
--- a/internal/routing/crossings_test.go
+++ b/internal/routing/crossings_test.go
@@ -15,6 +15,8 @@
 	"dunestep/decide"
 	"dunestep/internal/core"
 	"dunestep/internal/figures"
+	"dunestep/internal/flow"
+	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
 	"dunestep/internal/transport"
 )
@@ -165,3 +167,89 @@
 	}
 	require.Len(t, came, 1)
 }
+
+// A long request comes whole while its connection is still coming up, or settling: the booking server is told what is
+// left by then, and not the time that counts from a last byte which is long past.
+func TestTimeToldOfARequestThatCameWhole(t *testing.T) {
+	told := make(chan string, 1)
+	s := play(t, func(_ int, c *net.TCPConn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			told <- r.Header.Get("X-Time-Left-Ms")
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
+		}
+	}, nil)
+	step := func(left time.Duration, comesWhole bool) (ms int) {
+		rest := flow.New(-1, memory.Grant{}, 0)
+		rest.End(io.EOF)
+		until := s.clock.now() + 15*time.Minute // it may come for so long
+		step := newStep(&operation{Operation: &protocol.Operation{Method: http.MethodPost, Target: "/rezervare",
+			CorrelationID: "000000000000000a", Class: "rezervare", TimeLeft: time.Minute, Length: -1, Rest: rest}},
+			core.Output{At: until, Deadline: until, After: time.Minute}, s.clock)
+		if comesWhole { // and so much of its time is left
+			until := s.clock.time(s.clock.now() + left)
+			step.retime(until, until)
+		}
+		s.booking.mail.put(step)
+		_, err := fmt.Sscan(<-told, &ms)
+		require.NoError(t, err)
+		s.ended()
+		return ms
+	}
+	require.Equal(t, 60_000, step(0, false))
+	require.LessOrEqual(t, step(30*time.Second, true), 30_000)
+}
+
+// A step whose client leaves, or whose operation is answered, while it is found out that its reused connection had
+// ended is not begun again on a new one, whichever of the two is told first.
+func TestNotBegunAgainForNobody(t *testing.T) {
+	s := play(t, func(int, *net.TCPConn) {}, nil)
+	for name, cross := range map[string]func(*routeStep){
+		"before it is written":        func(r *routeStep) { r.unwant(); r.mayWrite(); r.unwritten() },
+		"as it is written":            func(r *routeStep) { r.mayWrite(); r.unwant(); r.unwritten() },
+		"as a new connection is made": func(r *routeStep) { r.mayWrite(); r.unwritten(); r.unwant() },
+	} {
+		step := s.step("000000000000000a")
+		cross(step)
+		require.Error(t, step.ctx.Err(), name)
+		require.False(t, step.mayWrite(), name)
+	}
+}
+
+// A booking server closes its idle connection once the next step has been given it: the step goes out on a new one,
+// and this is the first time that it is sent. That it has the connection is known by the step after it, which gets none.
+func TestReusedConnectionHadEnded(t *testing.T) {
+	came, end := make(chan string, 4), make(chan struct{})
+	s := play(t, func(n int, c *net.TCPConn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			came <- r.Header.Get("X-Correlation-Id")
+			_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
+			if n == 1 {
+				<-end
+				return
+			}
+		}
+	}, func(set *upstreamSettings) { set.settle = 2 * time.Minute })
+	for _, id := range []string{"000000000000000a", "000000000000000b", "000000000000000c"} {
+		s.booking.mail.put(s.step(id))
+		if id != "000000000000000b" {
+			_, body := s.ended()
+			require.Equal(t, id, body)
+			require.Equal(t, id, <-came)
+		}
+	}
+	close(end)
+	b, body := s.ended()
+	require.Equal(t, decide.Served, b.saw.Outcome())
+	require.Equal(t, "000000000000000b", body)
+	require.False(t, b.saw.Reused, "it went out on a new one")
+	require.Len(t, came, 1, "once")
+}
