A step that is told late to be written whole is not taken for one that never ran

Seen: where a long request's answer comes before the end of its writing is told, 20 ms are waited for that; after them the connection was closed, and what the writer then said was dropped: nil as well, which means written whole. The step ended as 'never ran', so that the client of an unsafe operation that has run was told that trying again is harmless. Lines at fault: early() in internal/transport/upstream.go, <-wrote after the timer. Changed: the writer's word counts; the connection is not used again. Seen too: an answer of which only a part of a line came before a reset counted as spoilt, not as broken off: bufio hands out the part and drops the error, and the next read has an end in good order. The first error of a connection stands now (source), and reason goes by it, so no path can take a reset for an end.

--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -44,7 +44,8 @@
 	raw     syscall.RawConn
 	server  string // whose connection it is, for the memory that its answers hold
 	bodies  *Bodies
-	limit   io.LimitedReader
+	source  source
+	limit   io.LimitedReader // of the source
 	in      *bufio.Reader
 	replies chan reply
 	ended   func(*Upstream)
@@ -56,6 +57,20 @@
 	broken bool
 }
 
+// source reads a connection, whose first error stands. Guards against whoever passes over an error and asks again:
+// bufio does where a line is cut, and the system tells of a reset once, and then of an end in good order.
+type source struct {
+	conn io.Reader
+	err  error
+}
+
+func (s *source) Read(b []byte) (n int, err error) {
+	if s.err == nil {
+		n, s.err = s.conn.Read(b)
+	}
+	return n, s.err
+}
+
 // Step is a route step to be carried out.
 type Step struct {
 	Head, Body []byte
@@ -102,7 +117,8 @@
 func newUpstream(conn net.Conn, server string, bodies *Bodies, release func(),
 	ended func(*Upstream)) (*Upstream, error) {
 	u := &Upstream{conn: conn, server: server, bodies: bodies, ended: ended, replies: make(chan reply, 1),
-		over: make(chan struct{}), release: sync.OnceFunc(release), limit: io.LimitedReader{R: conn}}
+		over: make(chan struct{}), release: sync.OnceFunc(release), source: source{conn: conn}}
+	u.limit.R = &u.source
 	var err error
 	if u.raw, err = conn.(syscall.Conn).SyscallConn(); err != nil {
 		u.Close()
@@ -210,7 +226,10 @@
 	case <-after.C:
 		s.Rest.Cut(flow.ErrLeft)
 		u.Close()
-		<-wrote
+		if err := <-wrote; err == nil { // it may have run, whatever becomes of the answer
+			got.Close = true
+			return &got, true
+		}
 	}
 	if got.begun {
 		got.Flow.Close()
@@ -347,12 +366,10 @@
 
 // reason tells what broke off with its connection, or was not wanted, from what is spoilt.
 func (u *Upstream) reason(err error) error {
-	var broken net.Error
 	switch {
 	case errors.Is(err, memory.ErrFull), errors.Is(err, flow.ErrLeft):
 		return err
-	case u.limit.N > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.As(err, &broken)):
+	case u.limit.N > 0 && u.source.err != nil:
 		return err
 	}
 	return errors.Join(ErrSpoilt, err)
