A step that waits for its connection is not sent on after the grace of a server that drains

Seen: a step waits for its connection for as long as the settings and its time allow, and is written when that comes up, also where the server has begun to drain meanwhile: with 10 s for a connection and a grace of 1 s it still waited 9.99 s after it was told (TestServerDrainsWhileAConnectionIsAwaited with the bound out). Lines at fault: upstreamSettings.connectTimeout in routing.Start, which knew nothing of the grace. Ruled out for the deployments at hand: they wait 0.12 to 0.4 s and have graces of 2 to 4 s. Changed: connections are waited for half of the grace at the most (connectWait). Tests, seen failing: the one above; TestLessTimeThanAnythingTakes (the dial's end with its step and the bounds on the wait out: answered after 10 s); TestFurtherAttemptsTellWhatIsLeft (the client's whole time told: 20000 for at most 19700). Measured: the three tests and TestFaultsOfTheWire, TestNothingIsSentOnForClientsThatLeft, packages core, routing, transport.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -8,7 +8,7 @@
 )
 
 // SettleTime is how long a connection rests after its answer before the next route step is written on it. A
-// booking server may answer twice, the second time "some milliseconds" late, and nothing in an answer tells
+// booking server may answer twice, the second time some milliseconds late, and nothing in an answer tells
 // which request it is for: what comes while no step is on the connection ends it, what comes later would be
 // taken for the next one's answer. Some milliseconds are under ten. What it costs grows with its square, as
 // more steps wait and each for longer; a connection in its place would cost both sides a handshake, and is
@@ -79,8 +79,8 @@
 		from: from}, p.closing
 }
 
-// Unused takes the end of a route step in that was not written on the connection of its lease, which has stood
-// idle all along. Ended tells that it has ended since.
+// Unused takes the end of a route step in that was not written on the connection of its lease, which has
+// stood idle all along. Ended tells that it has ended since.
 func (p *Pool[C]) Unused(lease Lease[C], ended bool) []C {
 	p.busy--
 	p.closing = p.closing[:0]
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -131,7 +131,8 @@
 		operations: map[uint32]*operation{}, awaits: set.Awaits, knows: set.Knows,
 		acting: set.Acting, avoiding: set.Avoiding, placed: set.Placed}
 	limit := &idleLimit{core: core.NewIdleLimit(a.clock.now(), set.Deployment.ConnIdle)}
-	a.upstream = upstreamSettings{clock: a.clock, connectTimeout: set.Deployment.ConnectTimeout, settle: core.SettleTime,
+	a.upstream = upstreamSettings{clock: a.clock, connectTimeout: connectWait(set.Deployment),
+		settle: core.SettleTime,
 		idleLimit: limit, connects: &connects{}, descriptors: set.Descriptors, bodies: set.Bodies,
 		figures: set.Figures}
 	a.kept = kept{session: state.NewSession(set.Start, balancer, gate, limit, set.Proof),
@@ -145,6 +146,15 @@
 	return a, nil
 }
 
+// connectWait is how long a route step waits for its connection at the most. Guards against one that is sent
+// on, after the grace, to a booking server which began to drain meanwhile: half of that is left for its way.
+func connectWait(set protocol.Settings) time.Duration {
+	if grace := set.Rules.DrainGrace; grace > 0 {
+		return min(set.ConnectTimeout, grace/2)
+	}
+	return set.ConnectTimeout
+}
+
 // Ready tells whether a booking server is known that takes operations, and what has to be there beside it
 // is.
 func (a *Agent) Ready() bool { return a.ready.Load() && (a.awaits == nil || a.awaits()) }
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -57,8 +57,8 @@
 	broken bool
 }
 
-// source reads a connection, whose first error stands. Guards against whoever passes over an error and asks again:
-// bufio does where a line is cut, and the system tells of a reset once, and then of an end in good order.
+// source reads a connection, whose first error stands. Guards against whoever passes over an error and asks
+// again: bufio does where a line is cut, and the system tells of a reset once, and then of an end.
 type source struct {
 	conn io.Reader
 	err  error
