A client that gives way is not cut off over bytes that it sent as it was told

At fault: frontConn.evict closed what had been told 20 ms before also where bytes lay unread, and the 20 ms ran from before the shutdown, which the test holds. Changed: they run from after it, and nothing that gave way is closed over unread bytes before its second is over; another connection is chosen meanwhile. An error's client has 150 ms, as before.

--- a/internal/transport/front_crossings_test.go
+++ b/internal/transport/front_crossings_test.go
@@ -489,3 +489,30 @@
 	x.operator.may <- struct{}{}
 	x.answer(c)
 }
+
+// A client that gives way was told to end its connection, and what it sent just before lies unread: the connection is
+// not closed over it, which would reset it, but once it is thrown away.
+func TestToldConnectionIsNotClosedOverUnreadBytes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	inner, err := l.Accept()
+	require.NoError(t, err)
+	defer inner.Close()
+	raw, err := inner.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	since := time.Now().Add(-time.Hour)
+	front := &frontConn{Conn: inner, raw: raw, state: connEnding, since: since, gaveWay: true}
+	rank, _, _ := front.spare(time.Now())
+	require.Zero(t, rank)
+	_, err = io.WriteString(conn, crossingRequest)
+	require.NoError(t, err)
+	require.Eventually(t, (&client{TCPConn: conn.(*net.TCPConn)}).arrived, crossingPatience, time.Millisecond)
+	require.False(t, front.evict(connEnding, since))
+	_, err = io.ReadFull(inner, make([]byte, len(crossingRequest)))
+	require.NoError(t, err)
+	require.True(t, front.evict(connEnding, since))
+}
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -287,8 +287,8 @@
 		return false
 	}
 	if c.state != connEnding {
-		c.enter(connEnding)
 		_ = c.CloseWrite()
+		c.enter(connEnding)
 	}
 	return c.Conn.SetReadDeadline(c.since.Add(lingerWait)) == nil
 }
@@ -338,13 +338,13 @@
 	switch {
 	case c.state != s || !c.since.Equal(since):
 		return false
+	case (s != connEnding || c.gaveWay) && c.hasInput():
+		c.enter(connReading) // unless it is ending: then that is thrown away first
+		return false
 	case s == connEnding:
 		c.hasty = true
 		_ = c.Conn.SetReadDeadline(time.Now()) // its reader closes it
 		return true
-	case c.hasInput():
-		c.enter(connReading)
-		return false
 	}
 	c.gaveWay = s != connReading
 	return c.shut()
@@ -423,22 +423,32 @@
 // nothing, ask once and stay, or never finish: they would keep all others out. With short false, only those
 // count that have stood idle.
 func (l *clients) evict(short bool) bool {
-	now := time.Now()
-	var chosen *frontConn
-	var state connState
-	var since time.Time
-	lowest := 1
+	passed := map[*frontConn]bool{} // something has come on them meanwhile
+	for {
+		c, state, since := l.missedLeast(short, passed)
+		if c == nil || c.evict(state, since) {
+			return c != nil
+		}
+		passed[c] = true
+	}
+}
+
+// missedLeast chooses the connection that evict is to end, if any.
+func (l *clients) missedLeast(short bool, but map[*frontConn]bool) (chosen *frontConn, state connState,
+	since time.Time) {
+	now, lowest := time.Now(), 1
 	if short {
 		lowest = 4
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for c := range l.conns {
-		if r, s, at := c.spare(now); r >= 0 && (r < lowest || chosen != nil && r == lowest && at.Before(since)) {
+		r, s, at := c.spare(now)
+		if r >= 0 && !but[c] && (r < lowest || chosen != nil && r == lowest && at.Before(since)) {
 			chosen, lowest, state, since = c, r, s, at
 		}
 	}
-	l.mu.Unlock()
-	return chosen != nil && chosen.evict(state, since)
+	return chosen, state, since
 }
 
 func (l *clients) forget(c *frontConn) {
