A process that ends does not wait a second for clients that were told to go

Ruled out as a cost of the shutdown before the close: an end that comes up to a second later where clients keep their side open.

Seen failing: TestTheEndDoesNotWaitForClientsThatWereTold without it ("it does not come").

--- a/internal/transport/front_crossings_test.go
+++ b/internal/transport/front_crossings_test.go
@@ -490,6 +490,23 @@
 	x.answer(c)
 }
 
+// A client does not end its connection after it was told that no more comes: a process that ends does not wait for it
+// until the connection's time is up.
+func TestTheEndDoesNotWaitForClientsThatWereTold(t *testing.T) {
+	x := newCrossing(t, 1024, &asked{})
+	c := x.connect()
+	x.send(c, crossingRequest)
+	x.answer(c)
+	x.front.Leave(time.Hour, true)
+	c.front.mu.Lock()
+	require.True(t, c.front.shut())
+	require.NoError(t, c.front.Conn.SetReadDeadline(time.Now().Add(time.Hour)))
+	c.front.mu.Unlock()
+	x.ends(c)
+	x.front.Leave(0, true)
+	waitFor(t, c.held.closed)
+}
+
 // A client that gives way was told to end its connection, and what it sent just before lies unread: the connection is
 // not closed over it, which would reset it, but once it is thrown away.
 func TestToldConnectionIsNotClosedOverUnreadBytes(t *testing.T) {
--- a/internal/transport/frontconn.go
+++ b/internal/transport/frontconn.go
@@ -342,14 +342,19 @@
 		c.enter(connReading) // unless it is ending: then that is thrown away first
 		return false
 	case s == connEnding:
-		c.hasty = true
-		_ = c.Conn.SetReadDeadline(time.Now()) // its reader closes it
+		c.finish()
 		return true
 	}
 	c.gaveWay = s != connReading
 	return c.shut()
 }
 
+// finish has the reader of a connection whose client was told to end it close it; mu is held.
+func (c *frontConn) finish() {
+	c.hasty = true
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
 // spare tells how readily the connection can be given up, if at all, and what it is at. Above zero only where
 // descriptors are short.
 func (c *frontConn) spare(now time.Time) (rank int, s connState, since time.Time) {
--- a/internal/transport/leaving.go
+++ b/internal/transport/leaving.go
@@ -145,11 +145,17 @@
 }
 
 // endIdle has the connection's reader end it, unless something has come. Guards against a close that crosses
-// a request: what the machine has of one by now is served.
+// a request: what the machine has of one by now is served. Where all are to go, a client that was told and
+// does not end its connection is not waited for longer than one that gives way.
 func (c *frontConn) endIdle(all bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	quiet := time.Since(c.since) >= quietBefore
+	age := time.Since(c.since)
+	if all && c.state == connEnding && age >= silentBefore && !c.hasInput() {
+		c.finish()
+		return
+	}
+	quiet := age >= quietBefore
 	if c.state == connIdle && (quiet || all) || c.state == connSilent && quiet {
 		c.gentle = true
 		_ = c.Conn.SetReadDeadline(time.Now())
