--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -71,23 +71,79 @@
 
 type object = map[string]any
 
-// settings are a deployment with a class of each kind that occurs.
-func settings() object {
-	return object{"balancers": 2, "ordinal": 0, "zone": "a", "resolution": 5000, "discovery": "on_request",
-		"categories": []object{
-			{"name": "consult", "aim": 500000, "deadline": 2500000, "effect": "retryable", "value": 1},
-			{"name": "rezervare", "aim": 500000, "deadline": 1000000, "effect": "fragile", "value": 2}},
-		"customers":    []object{{"name": "acme", "quotaPerS": 1000, "share": 1}},
-		"clientHabits": object{"marksRetry": true},
-		"bounds": object{"sendCap": 3, "cancel": true, "mayTell": true, "retryAfter": true,
-			"maxRetryAfter": 2000000, "connIdle": 15000000, "connectTimeout": 250000},
-		"rules": object{"cold": 8900000, "startCapacity": 0.31, "fallMultiple": 3, "fall": 3000000,
-			"askWithin": 10000000, "stopSendingWithin": 3000000}}
+// class is a class of operations as a deployment's settings have it.
+type class struct {
+	name, effect  string
+	aim, deadline time.Duration
+	worth         float64
+	memory        time.Duration // for which a booking server remembers a key
+}
+
+// The effects of classes, as the settings name them.
+const (
+	retryable = "retryable"
+	dedup     = "dedup"
+	fragile   = "fragile"
+)
+
+// deployment is what an agent is told of whom it works for, and what its booking servers are called there.
+type deployment struct {
+	zone, kind, server string // of a booking server: its zone and kind, and what its id begins with
+	classes            []class
+	tenants            []string
+	quota              float64 // requests a second of each tenant
+	discovery          string
+	attempts           int
+	retryAfter         bool
+	maxRetryAfter      time.Duration
+	connectTimeout     time.Duration
+	connIdle           time.Duration
+	drainGrace         time.Duration
+	cold               time.Duration
+	coldShare          float64
+}
+
+// usual is the deployment of tests that say nothing else, with a class of each kind that occurs there.
+var usual = deployment{zone: "a", kind: "rapid", server: "s-", tenants: []string{"acme"}, quota: 1000,
+	classes: []class{{"consult", retryable, 500 * time.Millisecond, 2500 * time.Millisecond, 1, 0},
+		{"rezervare", fragile, 500 * time.Millisecond, time.Second, 2, 0}},
+	discovery: "on_request", attempts: 3, retryAfter: true, maxRetryAfter: 2 * time.Second,
+	connectTimeout: 250 * time.Millisecond, connIdle: 15 * time.Second, drainGrace: 3 * time.Second,
+	cold: 8900 * time.Millisecond, coldShare: 0.31}
+
+func (d deployment) settings() object {
+	var categories, customers []object
+	for _, c := range d.classes {
+		categories = append(categories, object{"name": c.name, "effect": c.effect, "value": c.worth,
+			"aim": c.aim.Microseconds(), "deadline": c.deadline.Microseconds(),
+			"memorySpan": c.memory.Microseconds()})
+	}
+	for _, t := range d.tenants {
+		customers = append(customers, object{"name": t, "quotaPerS": d.quota, "share": 1 / float64(len(d.tenants))})
+	}
+	return object{"balancers": 2, "ordinal": 0, "zone": d.zone, "resolution": 5000, "discovery": d.discovery,
+		"categories": categories, "customers": customers, "clientHabits": object{"marksRetry": true},
+		"bounds": object{"sendCap": d.attempts, "cancel": true, "mayTell": true, "retryAfter": d.retryAfter,
+			"maxRetryAfter": d.maxRetryAfter.Microseconds(), "connIdle": d.connIdle.Microseconds(),
+			"connectTimeout": d.connectTimeout.Microseconds()},
+		"rules": object{"cold": d.cold.Microseconds(), "startCapacity": d.coldShare, "fallMultiple": 3,
+			"fall": 3000000, "askWithin": 10000000, "stopSendingWithin": d.drainGrace.Microseconds()}}
+}
+
+// named is a class by its name, or one that may be repeated.
+func (d deployment) named(name string) class {
+	for _, c := range d.classes {
+		if c.name == name {
+			return c
+		}
+	}
+	return class{name: name, effect: retryable}
 }
 
 // world is the program and those round it.
 type world struct {
 	t         testing.TB
+	site      deployment
 	config    object
 	env       []string
 	operator  string // text of the operator file; empty: none is named
@@ -133,13 +189,17 @@
 }
 
 // newWorldAlone is for a test that loads the machine: others would find their programs too slow beside it.
-func newWorldAlone(t testing.TB, n int) *world {
+func newWorldAlone(t testing.TB, n int) *world { return newWorldOf(t, usual, n) }
+
+// newWorldOf is a world of a deployment.
+func newWorldOf(t testing.TB, site deployment, n int) *world {
 	require.NoError(t, program.Sources())
-	w := &world{t: t, log: &logBuffer{}, exited: make(chan struct{}), folder: t.TempDir()}
+	w := &world{t: t, site: site, log: &logBuffer{}, exited: make(chan struct{}), folder: t.TempDir()}
 	w.ids.Store(uint64(time.Now().UnixNano()))
 	var entries []object
 	for i := range n {
-		s := newServer(t, fmt.Sprintf("s-%d", i))
+		s := newServer(t, fmt.Sprint(site.server, i))
+		s.zone, s.kind = site.zone, site.kind
 		w.servers = append(w.servers, s)
 		entries = append(entries, s.entry("active"))
 	}
@@ -152,7 +212,7 @@
 	w.config = object{"name": "n0", "listen": w.addr, "discovery": w.discovery.addr, "seed": "8c1f30d27a5be964",
 		"limits":      object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"peer_listen": w.addr, "peers": []string{w.addr, w.peer.LocalAddr().String()}, "peers_all": w.addr,
-		"known": object{"version": 41, "full": true, "servers": entries}, "settings": settings()}
+		"known": object{"version": 41, "full": true, "servers": entries}, "settings": site.settings()}
 	return w
 }
 
@@ -332,17 +392,17 @@
 
 func (w *world) id() string { return fmt.Sprintf("%016x", w.ids.Add(1)) }
 
-// request is an operation of a class: consult by GET, rezervare by POST with a body.
+// request is an operation of a class, for the first tenant: by GET where it is safe to repeat, else by POST with a body.
 func (w *world) request(class string, leftMS int) *http.Request {
 	method, body := http.MethodGet, ""
-	if class == "rezervare" {
+	if w.site.named(class).effect != retryable {
 		method, body = http.MethodPost, "chair 4, Monday"
 	}
 	r, err := http.NewRequest(method, "http://"+w.addr+"/"+class+"/x%2Fy?q=1&r=%20", strings.NewReader(body))
 	require.NoError(w.t, err)
 	r.Host = "backend.local"
 	r.Header.Set("X-Correlation-Id", w.id())
-	r.Header.Set("X-Account", "acme")
+	r.Header.Set("X-Account", w.site.tenants[0])
 	r.Header.Set("Cookie", "sid=7f3a9c21e0b4d655")
 	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(leftMS))
 	return r
@@ -404,8 +464,8 @@
 
 // server is a booking server on a stand-in's socket. What it answers is written as it is.
 type server struct {
-	id     string
-	socket *standin.Server
+	id, zone, kind string
+	socket         *standin.Server
 
 	mu      sync.Mutex
 	answer  func(step) string
@@ -423,7 +483,7 @@
 }
 
 func newServer(t testing.TB, id string) *server {
-	s := &server{id: id, answer: ok}
+	s := &server{id: id, zone: usual.zone, kind: usual.kind, answer: ok}
 	var err error
 	s.socket, err = standin.Listen("127.0.0.1:0", standin.Events{Opened: s.accept, Came: s.serve, Ended: s.lose})
 	require.NoError(t, err)
@@ -432,7 +492,7 @@
 }
 
 func (s *server) entry(state string) object {
-	return object{"id": s.id, "addr": s.socket.Addr(), "zone": "a", "kind": "rapid", "cell": 1,
+	return object{"id": s.id, "addr": s.socket.Addr(), "zone": s.zone, "kind": s.kind, "cell": 1,
 		"state": state, "weight": 1.0, "started_ms": 0}
 }
 
--- a/cmd/dunestep/list_test.go
+++ b/cmd/dunestep/list_test.go
@@ -17,7 +17,7 @@
 )
 
 // heeds is how long after a change counts as told a booking server may still be sent to, with the page's slack.
-const heeds = 3*time.Second + 50*time.Millisecond
+func (w *world) heeds() time.Duration { return w.site.drainGrace + 50*time.Millisecond }
 
 // drains are booking servers that must get nothing new, each from a time on.
 type drains struct {
@@ -38,7 +38,7 @@
 					return
 				case <-time.After(5 * time.Millisecond):
 				}
-				r := w.request("rezervare", 900)
+				r := w.request(w.site.classes[1].name, 900)
 				r.Header.Set("Cookie", fmt.Sprintf("sid=%x", rand.Uint64()))
 				if resp, err := http.DefaultClient.Do(r); err == nil {
 					_ = resp.Body.Close()
@@ -56,7 +56,7 @@
 	d.w.t.Helper()
 	had := len(s.steps())
 	d.w.until("work for "+s.id, func() bool { return len(s.steps()) > had })
-	d.from[s] = time.Now().Add(after + heeds)
+	d.from[s] = time.Now().Add(after + d.w.heeds())
 }
 
 // hold waits until every drain binds, and looks that none was broken.
@@ -229,7 +229,7 @@
 			w.discovery.begins(list(42, false, w.servers[1].entry("leaving")) + "\n")
 			w.discovery.set(http.StatusOK, false)
 			w.until("watch", func() bool { return w.discovery.watched() == 1 })
-			drains.from[w.servers[1]] = time.Now().Add(heeds)
+			drains.from[w.servers[1]] = time.Now().Add(w.heeds())
 			w.discovery.set(http.StatusServiceUnavailable, false)
 			w.discovery.end()
 			before := len(w.discovery.called())
