What an agent has learned is handed over as its start's deployment's, not as the operator file calls it since

Seen, in reading: at an upgrade the old process writes whose its state is by the operator file of now, and the table [state] is said to be read at the start only. With another name for the deployment, SIGHUP and an upgrade, what was learned in one deployment is taken over in another: the files on the disk don't, their owner is the start's. And where the owner differs the log says error=<nil>. Cause: cmd/dunestep/upgrade.go, remembered: p.instructions() for p.told at the start. Ruled out: the classes. SIGHUP does not take settings over, so the other way to an owner, the classes' names, can't change. Change: the owner is the start's; the log tells the reason. Measured: TestWhatWasLearnedStaysWithItsDeployment fails with the owner of now ("state taken over").

--- a/cmd/dunestep/deployments_test.go
+++ b/cmd/dunestep/deployments_test.go
@@ -303,3 +303,18 @@
 	next.none(t, coast)
 	require.Zero(t, inherits.quit())
 }
+
+// What an agent has learned is its deployment's of the start, whatever the operator file calls it since: a process
+// that takes over under the new name begins without.
+func TestWhatWasLearnedStaysWithItsDeployment(t *testing.T) {
+	w := start(t, 2, door, func(w *world) { w.operator = "[state]\ndeployment = \"coast\"\n" })
+	w.operator = "[state]\ndeployment = \"hills\"\n"
+	w.configure()
+	require.NoError(t, w.process.Process.Signal(syscall.SIGHUP))
+	w.until("taken over", func() bool { return strings.Contains(w.log.String(), "configuration taken over") })
+	next := w.upgrade()
+	require.Contains(t, next.log.String(), `msg="state not taken over" error="state: another agent's, or another deployment's"`)
+	require.NotContains(t, next.log.String(), `msg="state taken over"`)
+	require.Zero(t, w.quit())
+	require.Zero(t, next.quit())
+}
--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -86,7 +86,10 @@
 	p.up.share = share{offer.Sockets, offer.MemoryMB}
 	got.hand, got.fleet = offer.Hand, offer.Fleet
 	got.hand.Bans = core.MergeBans(offer.Hand.Bans, kept.Bans)
-	if got.file, err = state.Decode(offer.State); err != nil || got.file.Owner != p.told.owner() {
+	if got.file, err = state.Decode(offer.State); err == nil && got.file.Owner != p.told.owner() {
+		err = state.ErrOther
+	}
+	if err != nil {
 		slog.Warn("state not taken over", "error", err)
 		got.file = nil
 	}
@@ -332,7 +335,8 @@
 	return sockets, names
 }
 
-// remembered is what was learned, in the form that is kept; empty where it does not come in time.
+// remembered is what was learned, in the form that is kept; empty where it does not come in time. Its owner is
+// the start's, as all that was learned is: the operator file may name another deployment since.
 func (p *process) remembered() []byte {
 	ctx, cancel := context.WithTimeout(context.Background(), rememberWait)
 	defer cancel()
@@ -340,7 +344,7 @@
 	if !ok {
 		return nil
 	}
-	raw, err := state.Encode(&state.File{Header: state.Header{Owner: p.instructions().owner(),
+	raw, err := state.Encode(&state.File{Header: state.Header{Owner: p.kept.told.owner(),
 		Written: time.Now().UnixMilli()}, Content: content})
 	if err != nil {
 		slog.Warn("state not handed over", "error", err)
