--- a/cmd/dunestep/deployments_test.go
+++ b/cmd/dunestep/deployments_test.go
@@ -54,6 +54,20 @@
 	return r
 }
 
+// keysPass looks that every step has the key that its request had, which is none but where the class has keys.
+func (w *world) keysPass() {
+	w.t.Helper()
+	for _, s := range w.servers {
+		for _, st := range s.steps() {
+			name, key := strings.Split(st.URL.Path, "/")[1], ""
+			if w.site.named(name).effect == dedup {
+				key = "key of " + st.Header.Get("X-Correlation-Id")
+			}
+			require.Equal(w.t, key, st.Header.Get("Idempotency-Key"), name)
+		}
+	}
+}
+
 // servesAll has a request of every class served for every tenant.
 func (w *world) servesAll(site deployment) {
 	w.t.Helper()
@@ -96,6 +110,14 @@
 					}
 				}
 			},
+			"keys": func(w *world) {
+				for _, c := range site.classes {
+					w.first(func(step) string { return reply("503 No", "", "X-Unprocessed: 1") }, ok)
+					require.Equal(w.t, http.StatusOK, w.do(w.requestOf(c.name, site.tenants[0])).status, c.name)
+				}
+				require.Equal(w.t, 2*len(site.classes), w.seen())
+				w.keysPass()
+			},
 			"unknown": func(w *world) { w.knowsNone(other); w.servesAll(site) },
 			"may have run": func(w *world) {
 				for _, c := range site.classes {
--- a/cmd/dunestep/helper_test.go
+++ b/cmd/dunestep/helper_test.go
@@ -392,10 +392,12 @@
 
 func (w *world) id() string { return fmt.Sprintf("%016x", w.ids.Add(1)) }
 
-// request is an operation of a class, for the first tenant: by GET where it is safe to repeat, else by POST with a body.
+// request is an operation of a class, for the first tenant: by GET where it is safe to repeat, else by POST with a body,
+// and with a key where booking servers know it by one.
 func (w *world) request(class string, leftMS int) *http.Request {
 	method, body := http.MethodGet, ""
-	if w.site.named(class).effect != retryable {
+	effect := w.site.named(class).effect
+	if effect != retryable {
 		method, body = http.MethodPost, "chair 4, Monday"
 	}
 	r, err := http.NewRequest(method, "http://"+w.addr+"/"+class+"/x%2Fy?q=1&r=%20", strings.NewReader(body))
@@ -405,6 +407,9 @@
 	r.Header.Set("X-Account", w.site.tenants[0])
 	r.Header.Set("Cookie", "sid=7f3a9c21e0b4d655")
 	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(leftMS))
+	if effect == dedup {
+		r.Header.Set("Idempotency-Key", "key of "+r.Header.Get("X-Correlation-Id"))
+	}
 	return r
 }
 
