--- a/cmd/dunestep/graphql_test.go
+++ b/cmd/dunestep/graphql_test.go
@@ -75,7 +75,7 @@
 			body := `{"errors":[{"message":"no such chair"}],"data":null}`
 			w.each(func(step) string { return reply("200 OK", body, "Content-Type: application/graphql-response+json") })
 			const accept = "application/graphql-response+json, application/json;q=0.9"
-			r := w.post(slotQuery, `{"day":"monday \u0041"}`, "Accept", accept)
+			r := w.post(slotQuery, `{"day":"monday \u0041"}`, "Accept", accept, "Idempotency-Key", "chair-4")
 			sent, _ := io.ReadAll(r.Body)
 			r.Body = io.NopCloser(strings.NewReader(string(sent)))
 			got := w.do(r)
@@ -89,9 +89,9 @@
 			require.Equal(t, 200, w.do(r).status)
 			steps := w.servers[0].steps()
 			require.Len(t, steps, 2)
-			require.Equal(t, []string{"POST", "/graphql", string(sent), "application/json; charset=utf-8", accept},
+			require.Equal(t, []string{"POST", "/graphql", string(sent), "application/json; charset=utf-8", accept, "chair-4"},
 				[]string{steps[0].Method, steps[0].RequestURI, steps[0].body, steps[0].Header.Get("Content-Type"),
-					steps[0].Header.Get("Accept")})
+					steps[0].Header.Get("Accept"), steps[0].Header.Get("Idempotency-Key")})
 			require.Regexp(t, "^[0-9a-f]{16}$", steps[0].Header.Get("X-Correlation-Id"))
 			require.Greater(t, wait(t, steps[0]), 40000, "by the class's deadline")
 			require.Equal(t, []string{"GET", target, "", "00000000000000ab"},
