What the gate tells the module after an outage is no word from discovery

Lines at fault: storm.Gate.renew tells the module of servers as if started anew by a Membership of its own, which the module took for discovery's answer (onMembership: Answered, and the look for a call that is never answered). The timer that asks only while something is missing (of today) made that a list which is never asked for again.

Changed: such a Membership says that it is the agent's own (Word.Local, before ByHand, of staff's word alone).

Measured: TestOutageIsNoWordFromDiscovery fails without it, and so does the second case of TestDiscoveryHeardMeanwhile without the look at Local.

--- a/decide/api.go
+++ b/decide/api.go
@@ -204,7 +204,7 @@
 	End     asking.End    // of SyncFailed: how the call ended
 	Quiet   time.Duration // of asking.Silent: how long nothing had come
 	Waiting bool          // of asking.Silent: another call is out in its place
-	ByHand  bool          // staff have brought it, and discovery has said nothing
+	Local   bool          // this agent's own, as staff's word is: discovery has said nothing
 	Begun   bool          // discovery has taken a call up, and has said nothing yet
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -117,7 +117,7 @@
 		b.ask()
 	} else if e.Kind == SyncFailed {
 		b.onDeaf(&e.Word)
-	} else if !e.Word.ByHand {
+	} else if !e.Word.Local {
 		b.askAgain = 0
 		if !e.Word.Begun {
 			b.discovery.Answered(len(e.Servers) > 0)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -749,9 +749,7 @@
 		again := find(b.Step(lost, &Membership{Kind: SyncFailed, Word: Word{End: asking.Lost}}), SetTimer)
 		require.NotNil(t, again)
 		b.Step(lost+ms, &Membership{Kind: SyncChange, Word: Word{Begun: true}})
-		if heard {
-			b.Step(lost+2*ms, &Membership{Kind: SyncChange})
-		}
+		b.Step(lost+2*ms, &Membership{Kind: SyncChange, Word: Word{Local: !heard}})
 		asks := find(b.Step(lost+again.After, &TimerDue{Tag: again.Tag}), Subscribe) != nil
 		require.Equal(t, !heard, asks)
 	}
--- a/internal/core/bans_test.go
+++ b/internal/core/bans_test.go
@@ -37,7 +37,7 @@
 						delete(heard, s.ID)
 					}
 				}
-				require.Equal(t, o.Word.ByHand, !o.Confirms && len(o.Told.Servers) == 0)
+				require.Equal(t, o.Word.Local, !o.Confirms && len(o.Told.Servers) == 0)
 			}
 		}
 		ids := rapid.SampledFrom([]string{"a", "b", "c", "d"})
--- a/internal/core/list.go
+++ b/internal/core/list.go
@@ -244,7 +244,7 @@
 		return
 	}
 	c := l.overlay(protocol.PoolConfig{Version: l.version, Servers: []protocol.PoolServer{s}})
-	l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Config: c, Word: decide.Word{ByHand: true}})
+	l.put(ListOutput{Kind: News, Sync: decide.SyncChange, Config: c, Word: decide.Word{Local: true}})
 }
 
 // overlay is what holds of a list: a booking server that is out by hand drains, and one that was put back
--- a/internal/routing/kept.go
+++ b/internal/routing/kept.go
@@ -21,7 +21,7 @@
 
 // news comes right after the core was told news of the list.
 func (k *kept) news(now time.Duration, n poolNews) {
-	if n.word.ByHand { // the list that is kept is discovery's
+	if n.word.Local { // the list that is kept is discovery's
 		return
 	}
 	if n.kind == decide.SyncSaved {
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -132,7 +132,7 @@
 		acting: set.Acting, avoiding: set.Avoiding, placed: set.Placed}
 	limit := &idleLimit{core: core.NewIdleLimit(a.clock.now(), set.Deployment.ConnIdle)}
 	a.upstream = upstreamSettings{clock: a.clock, connectTimeout: connectWait(set.Deployment),
-		settle: core.SettleTime,
+		settle:    core.SettleTime,
 		idleLimit: limit, connects: &connects{}, descriptors: set.Descriptors, bodies: set.Bodies,
 		figures: set.Figures}
 	a.kept = kept{session: state.NewSession(set.Start, balancer, gate, limit, set.Proof),
--- a/storm/outage.go
+++ b/storm/outage.go
@@ -248,7 +248,7 @@
 // renew tells the module that servers are as if started anew, without being any colder: what was seen of them
 // is of the outage.
 func (g *Gate) renew(servers ...*server) {
-	news := &decide.Membership{Kind: decide.SyncChange}
+	news := &decide.Membership{Kind: decide.SyncChange, Word: decide.Word{Local: true}}
 	for _, s := range servers {
 		if s.ready && !g.cold(s) { // what just started is new to the module
 			s.renewed++
--- a/storm/outage_test.go
+++ b/storm/outage_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"dunestep/asking"
 	"dunestep/decide"
 	"dunestep/health"
 )
@@ -208,3 +210,39 @@
 	require.Equal(t, calm, g.damper.phase)
 	require.Equal(t, 2, g.working())
 }
+
+// Guards against a list that is never asked for again: what the gate tells the module of servers that are as if
+// started anew is no word from discovery, whose watch was lost before and must be opened again.
+func TestOutageIsNoWordFromDiscovery(t *testing.T) {
+	set := deployment(1, 0)
+	set.OnRequest = true
+	g, err := Build(set, Figures{}, 1)
+	require.NoError(t, err)
+	now := epoch
+	g.Step(now, &decide.Membership{Kind: decide.SyncFull, Servers: []decide.Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}})
+	var again *decide.Action
+	for _, a := range g.Step(now, &decide.Membership{Kind: decide.SyncFailed, Word: decide.Word{End: asking.Lost}}) {
+		if a.Kind == decide.SetTimer {
+			again = &a
+		}
+	}
+	require.NotNil(t, again)
+	passed := map[phase]bool{}
+	for id := range uint32(2000) {
+		now += 10 * time.Millisecond
+		passed[g.damper.phase] = true
+		outcome := decide.ServerError
+		if passed[outage] {
+			outcome = decide.Served
+		}
+		for _, a := range g.Step(now, &decide.Request{ID: id, Class: "consult", Budget: time.Second}) {
+			if a.Kind == decide.Send {
+				g.Step(now, &decide.AttemptDone{ID: id, Server: a.Server, Outcome: outcome, Latency: 5 * time.Millisecond})
+			}
+		}
+	}
+	require.True(t, passed[returning], "the gate has told of servers as if started anew")
+	asks := slices.ContainsFunc(g.Step(now, &decide.TimerDue{Tag: again.Tag}),
+		func(a decide.Action) bool { return a.Kind == decide.Subscribe })
+	require.True(t, asks)
+}
