--- a/internal/rehearsal/judge/shares.go
+++ b/internal/rehearsal/judge/shares.go
@@ -10,7 +10,7 @@
 
 // Share is a part of a day's worth that must not fall too low beside the rest, before prices.
 type Share struct {
-	Of     string  `json:"of"` // "the day", "class consult", "tenant one", "third 1"
+	Of     string  `json:"of"` // "the day", "class any", "tenant one", "third 1"
 	Served float64 `json:"served"`
 	Small  bool    `json:"small,omitempty"` // so little that nothing is asked of it
 	Worth  float64 `json:"asked_worth"`
--- a/internal/rehearsal/live/bench.go
+++ b/internal/rehearsal/live/bench.go
@@ -199,7 +199,7 @@
 
 // benchRequest is the nth request, without a body.
 func benchRequest(n int) []byte {
-	return fmt.Appendf(nil, "GET /consult/book HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %016x\r\n"+
+	return fmt.Appendf(nil, "GET /any/book HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %016x\r\n"+
 		"X-Time-Left-Ms: 2000\r\nCookie: sid=k%05d\r\n\r\n", n, n%1000)
 }
 
@@ -217,7 +217,7 @@
 	}
 	set := protocol.Settings{ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond,
 		Settings: decide.Settings{Balancers: 1, Zone: "a", Tick: 5 * time.Millisecond,
-			Classes: []decide.Class{{Name: "consult", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1,
+			Classes: []decide.Class{{Name: "any", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1,
 				Effect: decide.Safe}},
 			Limits: decide.Limits{MaxAttempts: 3, SecondCopies: true, Cancel: true, RetryAfter: true,
 				MaxRetryAfter: 2 * time.Second},
--- a/internal/rehearsal/live/benchload.go
+++ b/internal/rehearsal/live/benchload.go
@@ -29,7 +29,7 @@
 kind = [{ name = "any", share = 1, cores = 1, speed = 1 }]
 
 [[class]]
-name = "consult"
+name = "any"
 share = 1
 work_ms = 1
 aim_ms = 500
--- a/internal/rehearsal/scenario/trouble.go
+++ b/internal/rehearsal/scenario/trouble.go
@@ -80,6 +80,6 @@
 load = {per_s = 1}
 agents = {count = 1}
 fleet = {servers = 1}
-kind = [{name = "rapid", share = 1, cores = 2, speed = 1}]
+kind = [{name = "any", share = 1, cores = 2, speed = 1}]
 class = [{name = "any", share = 1, work_ms = 5, aim_ms = 9, deadline_ms = 9, worth = 1, effect = "safe"}]
 `
