--- a/cmd/dunestep/names_test.go
+++ b/cmd/dunestep/names_test.go
@@ -85,7 +85,7 @@
 		name := filepath.ToSlash(strings.TrimPrefix(at, filepath.FromSlash(root+"/")))
 		switch {
 		case entry.IsDir() && at != filepath.FromSlash(root) &&
-			(strings.HasPrefix(entry.Name(), ".") || slices.Contains([]string{"bin", "journal", "node_modules"}, name)):
+			(strings.HasPrefix(entry.Name(), ".") || slices.Contains([]string{"bin", "journal", "example/graphql/node_modules"}, name)):
 			return filepath.SkipDir
 		case entry.IsDir() || slices.Contains(kits, name):
 		case strings.HasPrefix(name, "deploy/"), strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go"):
