--- a/cmd/dunestep/upgrade.go
+++ b/cmd/dunestep/upgrade.go
@@ -335,8 +335,8 @@
 	return sockets, names
 }
 
-// remembered is what was learned, in the form that is kept; empty where it does not come in time. Its owner is
-// the start's, as all that was learned is: the operator file may name another deployment since.
+// remembered is what was learned, in the form that is kept; empty where it does not come in time. Its owner
+// is the start's, as all that was learned is: the operator file may name another deployment since.
 func (p *process) remembered() []byte {
 	ctx, cancel := context.WithTimeout(context.Background(), rememberWait)
 	defer cancel()
