--- a/cmd/dunestep/list_test.go
+++ b/cmd/dunestep/list_test.go
@@ -96,6 +96,25 @@
 	return out.String()
 }
 
+// A watch ends instead of telling of a drain, and the call in its place is answered by a whole list that does not name
+// the booking server: it is gone, though it still answers.
+func TestWholeListLeavesAServerOut(t *testing.T) {
+	t.Parallel()
+	w := newWorldAlone(t, 4).start()
+	d := w.discovery
+	w.until("watch", func() bool { return d.watched() == 1 })
+	drains := w.watchDrains()
+	left, others := w.servers[3], []object{}
+	for _, s := range w.servers[:3] {
+		others = append(others, s.entry("active"))
+	}
+	d.begins(list(43, true, others...) + "\n")
+	drains.told(left, 0)
+	d.end()
+	w.until("another watch", func() bool { return d.watched() == 1 })
+	drains.hold()
+}
+
 // A drain is heeded however the list that tells of it comes.
 func TestDrainsInListsOfAnyForm(t *testing.T) {
 	t.Parallel()
