--- a/internal/transport/front_crossings_test.go
+++ b/internal/transport/front_crossings_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"dunestep/internal/figures"
+	"dunestep/internal/memory"
 	"dunestep/internal/protocol"
 )
 
@@ -439,6 +440,29 @@
 	}
 }
 
+// The same where it waits for memory on this side: nothing is read of it for a while, and it is not closed.
+func TestRequestThatWaitsForMemoryIsNotSentAway(t *testing.T) {
+	x := newCrossing(t, 1024, &asked{})
+	all, err := x.front.bodies.Memory.Take(t.Context(), memory.Holder{Name: "s-0"}, 1<<20) // all of it
+	require.NoError(t, err)
+	c := x.connect()
+	x.send(c, strings.Replace(crossingRequest, "GET", "POST", 1)[:len(crossingRequest)-1]+
+		"Content-Length: 15\r\n\r\nchair 4, Monday")
+	x.until("waits", func() bool {
+		c.front.mu.Lock()
+		defer c.front.mu.Unlock()
+		return c.front.held
+	})
+	x.front.Leave(0, true)
+	x.front.clients.endIdle(true)
+	require.False(t, c.front.ends())
+	require.Zero(t, x.operator.count.Load())
+	all.Release()
+	require.True(t, x.answer(c).Close)
+	require.EqualValues(t, 1, x.operator.count.Load())
+	x.ends(c)
+}
+
 // ends tells whether the connection is to be ended.
 func (c *frontConn) ends() bool {
 	c.mu.Lock()
