--- a/asking/asking.go
+++ b/asking/asking.go
@@ -46,7 +46,7 @@
 // Terms are the settings that the waits follow from.
 type Terms struct {
 	Agents     int
-	AskWithin  time.Duration // without a watch, a change counts as told so much later at the latest; zero: no bound
+	AskWithin  time.Duration // without a watch, a change counts as told so much later; zero: no bound
 	DrainGrace time.Duration // sends may go on so long after an agent was told
 }
 
