--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -55,8 +55,8 @@
 	Stream bool          // its class is streamed: only its first bytes are timed, however short it is
 }
 
-// timedWhole tells whether the answer, as far as is known, is one whose last byte has to come in its request's
-// time; of a longer one, and of a stream, only the first bytes are timed.
+// timedWhole tells whether the answer, as far as is known, is one whose last byte has to come in its
+// request's time; of a longer one, and of a stream, only the first bytes are timed.
 func (p Progress) timedWhole() bool {
 	return !p.Stream && max(p.Came, p.Length) <= protocol.MaxBody
 }
@@ -154,11 +154,11 @@
 }
 
 // MayGoOn tells whether an answer that has begun may go on, or why not: sent is how long ago its route step
-// was sent, left what is left of its operation's time, quiet how long nothing has come though it could. A short
-// answer has to be whole in its time; of a long one and of a stream the first bytes are timed, and a booking
-// server that still gives is not cut off. A client may hold up the connection of a booking server for as long
-// as that itself has needed since the route step was sent, and lag more, and beyond that while it takes a fair
-// number of bytes.
+// was sent, left what is left of its operation's time, quiet how long nothing has come though it could. A
+// short answer has to be whole in its time; of a long one and of a stream the first bytes are timed, and a
+// booking server that still gives is not cut off. A client may hold up the connection of a booking server for
+// as long as that itself has needed since the route step was sent, and lag more, and beyond that while it
+// takes a fair number of bytes.
 func (p Progress) MayGoOn(sent, left, quiet, lag time.Duration) Ending {
 	own := sent - p.Before - p.HeldUp
 	switch {
--- a/internal/rehearsal/world/conn.go
+++ b/internal/rehearsal/world/conn.go
@@ -11,8 +11,8 @@
 // readsSlowly is how much later a slow reader has a request.
 const readsSlowly = 100 * time.Millisecond
 
-// noSettling is how long an agent's connections rest after an answer: in this world no second answer comes late,
-// and agents that wait for one gain nothing. Live, agents do.
+// noSettling is how long an agent's connections rest after an answer: in this world no second answer comes
+// late, and agents that wait for one gain nothing. Live, agents do.
 const noSettling = 0
 
 // conn is a connection from an agent to a booking server's process. Each end has its own view of it, as
