An answer whose length was not told is not cut off at its time: it may be long

Changed: only what was announced as no longer than 64 KiB is ended at its time. Of unknown length the rule is as before (3 s without a byte).

TestNothingIsSentOnForClientsThatLeft fell once in a whole run on a busy machine: since a connection is waited for half of the grace at most, its two requests had 1.5 s to be seen waiting together. Its settings now have a grace of a minute, so that the connection is waited for as long as before; nothing that it asks for is eased.

--- a/cmd/dunestep/faults_test.go
+++ b/cmd/dunestep/faults_test.go
@@ -124,6 +124,8 @@
 	f := newFaulty(t, "")
 	w := newWorld(t, 0)
 	w.patient()
+	rules := w.config["settings"].(object)["rules"].(object)
+	rules["stopSendingWithin"] = 60000000 // a connection is waited for half of that at the most
 	w.config["known"].(object)["servers"] = []object{{"id": "s-0", "addr": f.Addr(), "zone": "a", "kind": "rapid", "cell": 1,
 		"state": "active", "weight": 1.0}}
 	w.start()
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -55,10 +55,11 @@
 	Stream bool          // its class is streamed: only its first bytes are timed, however short it is
 }
 
-// timedWhole tells whether the answer, as far as is known, is one whose last byte has to come in its
-// request's time; of a longer one, and of a stream, only the first bytes are timed.
+// timedWhole tells whether the answer is one whose last byte has to come in its request's time: it was
+// announced as no longer than what is timed so. Of a longer one, and of a stream, only the first bytes are
+// timed; one whose length was not told may turn out to be longer.
 func (p Progress) timedWhole() bool {
-	return !p.Stream && max(p.Came, p.Length) <= protocol.MaxBody
+	return !p.Stream && p.Length >= 0 && p.Length <= protocol.MaxBody
 }
 
 // Sighting is what was seen of a route step that has ended, by whoever carried it out.
@@ -128,8 +129,7 @@
 
 const (
 	// An answer of which the last byte is timed is lost to its client half a second after its time. Before that
-	// it is ended, where the client can tell: at stillMost without a byte, where it may turn out to be a longer
-	// one, and at lateMost in any case where its length is known.
+	// it is ended, where the client can tell: at stillMost without a byte, and at lateMost in any case.
 	stillMost = 200 * time.Millisecond
 	lateMost  = 400 * time.Millisecond
 	// restWait is how long after its operation's time an answer that has begun may stand still: what still comes
@@ -164,7 +164,7 @@
 	switch {
 	case p.Whole:
 		return GoesOn
-	case p.timedWhole() && (left <= 0 && quiet > stillMost || p.Length >= 0 && left < -lateMost):
+	case p.timedWhole() && (left <= 0 && quiet > stillMost || left < -lateMost):
 		return OutOfTime
 	case left <= 0 && quiet > restWait, left < -restMost:
 		return OutOfTime
