--- a/internal/rehearsal/lab/agent.go
+++ b/internal/rehearsal/lab/agent.go
@@ -145,7 +145,7 @@
 	return nil
 }
 
-// asks is for how agents are. Each look is on a connection of its own: the process may be another one by then.
+// asks is for how agents are, each time on a connection of its own: the process may be another one by then.
 var asks = http.Client{Timeout: askWait, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // IsReady tells whether the agent says now that it is ready.
