--- a/internal/rehearsal/lab/lab.go
+++ b/internal/rehearsal/lab/lab.go
@@ -104,8 +104,8 @@
 	defaultPatience = time.Minute
 	emptyLines      = 500 * time.Millisecond // between those on a watch
 	lookAgain       = 20 * time.Millisecond  // at what is no event of the lab's
-	// restBetweenLooks is the least time between the beginnings of two: under load there are hundreds of events a
-	// second, and a look may ask an agent.
+	// restBetweenLooks is the least time between the beginnings of two: under load there are hundreds of
+	// events a second, and a look may ask an agent.
 	restBetweenLooks = 10 * time.Millisecond
 
 	askWait         = 5 * time.Second // for an agent's answer
--- a/internal/standin/connecting.go
+++ b/internal/standin/connecting.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Connecting counts a process's TCP connections over IPv4 that have been asked for and have not come up. Only on
-// Linux.
+// Connecting counts a process's TCP connections over IPv4 that have been asked for and have not come up. Only
+// on Linux.
 func Connecting(pid int) (n int, err error) {
 	waiting, err := synSent()
 	if err != nil {
@@ -38,8 +38,8 @@
 )
 
 // synSent is the set of the system's sockets in the state SYN_SENT, as links of descriptors name them. Guards
-// against reading the system's table of all, which has those that ended in the last minute, too: with a hundred
-// thousand of them that takes longer than some connections are waited for.
+// against reading the system's table of all, which has those that ended in the last minute, too: with a
+// hundred thousand of them that takes longer than some connections are waited for.
 func synSent() (map[string]bool, error) {
 	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, unix.NETLINK_INET_DIAG)
 	if err != nil {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -151,8 +151,8 @@
 }
 
 // Full tells whether the system has no room for a further connection: from then on a muted server answers
-// none. Only on Linux; false where the server does not listen, and while it still takes the room, which it may
-// have to give up again.
+// none. Only on Linux; false where the server does not listen, and while it still takes the room, which it
+// may have to give up again.
 func (s *Server) Full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
