Process tests of a fleet: a cold server under 24 agents, and 20 that start before a slow discovery

The lab may have calls to discovery answered by its user (Options.Call, Agent.Tell), and tells that a booking server has started again (Restarted).

--- a/cmd/dunestep/budgets_test.go
+++ b/cmd/dunestep/budgets_test.go
@@ -43,20 +43,28 @@
 	return end
 }
 
-// fullest is the most steps that a server got in any window of that length from a time on.
-func (s *server) fullest(from time.Time, window time.Duration) (most int) {
-	steps := s.steps()
-	for first, last := 0, 0; last < len(steps); last++ {
-		for steps[last].came.Sub(steps[first].came) >= window {
+// fullest is the most attempts of any window of that length that ends after a time; came is in order.
+func fullest(came []time.Time, from time.Time, window time.Duration) (most int) {
+	for first, last := 0, 0; last < len(came); last++ {
+		for came[last].Sub(came[first]) >= window {
 			first++
 		}
-		if !steps[last].came.Before(from) {
+		if !came[last].Before(from) {
 			most = max(most, last-first+1)
 		}
 	}
 	return most
 }
 
+// coldLimit is how many attempts a booking server that just started may get in the window within which it would fall
+// over, by the usual rules, if it does capacity a second when it is warm: what is allowed then, and what is chance.
+func coldLimit(capacity float64) float64 {
+	n := 3 * usual.coldShare * capacity * coldWindow.Seconds()
+	return n + 2*math.Sqrt(n) + 2
+}
+
+const coldWindow = 3 * time.Second
+
 // A booking server that starts again, and owns all that is asked for, gets some of it at once and never as much as
 // it falls over from, whatever comes: what the settings say of cold servers.
 func TestColdServerIsNotPushedOver(t *testing.T) {
@@ -94,9 +102,12 @@
 	w.until("some of it", func() bool { return len(w.servers[3].steps()) > had })
 	time.Sleep(time.Until(told.Add(5 * time.Second)))
 	end()
-	n := 3 * 0.31 * 3 * capacity // in 3 s
-	limit := n + 2*math.Sqrt(n) + 2
-	most := w.servers[3].fullest(from.Add(3*time.Second-200*time.Millisecond), 3*time.Second)
+	limit := coldLimit(capacity)
+	var came []time.Time
+	for _, st := range w.servers[3].steps() {
+		came = append(came, st.came)
+	}
+	most := fullest(came, from.Add(coldWindow-200*time.Millisecond), coldWindow)
 	t.Logf("%d in its fullest 3 s, %.0f at most", most, limit)
 	require.Less(t, float64(most), limit)
 }
--- /dev/null
+++ b/cmd/dunestep/fleetstarts_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"dunestep/internal/rehearsal/lab"
+	"dunestep/internal/standin"
+)
+
+// coldFleet is a fleet whose agents are asked for what one booking server owns, and what came there.
+type coldFleet struct {
+	*lab.Lab
+	t *testing.T
+
+	mu   sync.Mutex
+	came map[int][]time.Time // attempts, by booking server
+}
+
+const coldOne = 3 // the booking server that starts again
+
+func newColdFleet(t *testing.T, agents int) *coldFleet {
+	program, err := plain()
+	require.NoError(t, err)
+	f := &coldFleet{t: t, came: map[int][]time.Time{}}
+	f.Lab = lab.Open(t, lab.Options{Agents: agents, Servers: 4, Program: program, Seed: 21,
+		Answer: func(s lab.Step) standin.Reply {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.came[s.Server] = append(f.came[s.Server], time.Now())
+			return standin.Reply{Status: http.StatusOK, Body: "booked"}
+		}})
+	return f
+}
+
+// count is how many attempts have come to a booking server.
+func (f *coldFleet) count(server int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.came[server])
+}
+
+// ownKeys finds keys that the booking server owns which starts again.
+func (f *coldFleet) ownKeys(n int) (own []string) {
+	for len(own) < n {
+		key, had := fmt.Sprintf("%x", rand.Uint64()), f.count(coldOne)
+		status, _, err := f.Agent(0).Ask(f.t.Context(), "consult", key)
+		require.NoError(f.t, err)
+		if status == http.StatusOK && f.count(coldOne) > had {
+			own = append(own, key)
+		}
+	}
+	return own
+}
+
+// load has every agent asked at an even pace for one of the keys, until the test ends.
+func (f *coldFleet) load(perS int, keys func() string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	f.t.Cleanup(func() { cancel(); wait.Wait() })
+	for _, a := range f.Agents() {
+		wait.Go(func() {
+			beat := time.NewTicker(time.Second / time.Duration(perS))
+			defer beat.Stop()
+			for {
+				select {
+				case <-beat.C:
+					wait.Go(func() { _, _, _ = a.Ask(ctx, "consult", keys()) }) // some agents are down meanwhile
+				case <-ctx.Done():
+					return
+				}
+			}
+		})
+	}
+}
+
+// Twenty-four agents have all that they are asked for owned by a booking server that has just started. Half of them have
+// started just then, too, and know nothing of how much comes: what all of them send there together is less than it falls
+// over from, and it gets some.
+func TestColdServerUnderAFleet(t *testing.T) {
+	t.Parallel()
+	const agents, perS, capacity = 24, 8, 60.0 // requests a second: of each agent, and what a warm server would do
+	f := newColdFleet(t, agents)
+	ctx := t.Context()
+	require.NoError(t, f.StartAll(ctx))
+	own := f.ownKeys(12)
+	var mu sync.Mutex
+	hot := false
+	f.load(perS, func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		if hot {
+			return own[rand.IntN(len(own))]
+		}
+		return fmt.Sprintf("%x", rand.Uint64())
+	})
+	had := f.count(coldOne)
+	require.NoError(t, f.Wait(ctx, "its pace is known", func() bool { return f.count(coldOne) > had+2*agents*perS/4 }))
+	for _, a := range f.Agents()[:agents/2] {
+		a.Kill()
+	}
+	require.NoError(t, f.StartAll(ctx))
+	require.NoError(t, f.Wait(ctx, "all watch", func() bool {
+		for _, a := range f.Agents() {
+			if a.Watches() == 0 {
+				return false
+			}
+		}
+		return true
+	}))
+	f.Restarted(coldOne)
+	const takenIn = 200 * time.Millisecond
+	told := time.Now()
+	require.NoError(t, f.Wait(ctx, "it is taken in", func() bool { return time.Since(told) > takenIn }))
+	mu.Lock()
+	hot = true
+	mu.Unlock()
+	from, had := time.Now(), f.count(coldOne)
+	require.NoError(t, f.Wait(ctx, "the windows are over", func() bool { return time.Since(from) > 2*coldWindow }))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := fullest(f.came[coldOne], from.Add(coldWindow), coldWindow)
+	t.Logf("%d in its fullest %v, %.0f at most", most, coldWindow, coldLimit(capacity))
+	require.Greater(t, len(f.came[coldOne]), had, "it gets some")
+	require.Less(t, float64(most), coldLimit(capacity))
+}
+
+// turns is discovery that works through calls one after the other, and refuses those that would wait too long.
+type turns struct {
+	takes  time.Duration // for one call
+	most   int           // that wait
+	mu     sync.Mutex
+	queue  int
+	served sync.Mutex // held by the call that is worked at
+}
+
+// answer works through an agent's call in its turn.
+func (d *turns) answer(a *lab.Agent, c *standin.Call) {
+	d.mu.Lock()
+	d.queue++
+	full := d.queue > d.most
+	if full {
+		d.queue--
+	}
+	d.mu.Unlock()
+	if full {
+		c.Begin(http.StatusServiceUnavailable)
+		c.End()
+		return
+	}
+	d.served.Lock()
+	time.Sleep(d.takes) // its work
+	d.served.Unlock()
+	a.Tell(c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue--
+}
+
+// Twenty agents of a fleet of three hundred start at once and know no list, before a discovery that takes 100 ms for a
+// call, one at a time, and refuses all but six: nine in ten are ready within ten seconds, and all within thirty.
+func TestAllStartBeforeASlowDiscovery(t *testing.T) {
+	t.Parallel()
+	const agents, fleet, most, last = 20, 300, 10 * time.Second, 30 * time.Second
+	program, err := plain()
+	require.NoError(t, err)
+	d := &turns{takes: 100 * time.Millisecond, most: 6}
+	var l *lab.Lab
+	l = lab.Open(t, lab.Options{Agents: agents, Servers: 2, Program: program, Seed: 22,
+		Call: func(agent int, c *standin.Call) bool {
+			go d.answer(l.Agent(agent), c)
+			return true
+		},
+		Shape: func(c *lab.Config) {
+			c.File["known"] = object{"version": 0, "full": true, "servers": []object{}}
+			c.File["settings"].(map[string]any)["balancers"] = fleet
+		}})
+	began := time.Now()
+	took := make([]time.Duration, agents)
+	var wait sync.WaitGroup
+	for n, a := range l.Agents() {
+		wait.Go(func() {
+			assert.NoError(t, a.Start(t.Context()))
+			took[n] = time.Since(began)
+		})
+	}
+	wait.Wait()
+	late := 0
+	for _, one := range took {
+		if one > most {
+			late++
+		}
+		require.Less(t, one, last)
+	}
+	t.Log("ready after", took)
+	require.LessOrEqual(t, late, agents/10)
+}
--- a/internal/rehearsal/lab/deployment.go
+++ b/internal/rehearsal/lab/deployment.go
@@ -50,11 +50,13 @@
 // list is discovery's list of booking servers. It is alike for all agents, but for the addresses.
 type list struct {
 	version int64
-	states  []string // of each server, as agents are told it
+	states  []string    // of each server, as agents are told it
+	started []time.Time // of each server; zero: long ago
 }
 
 func newList(servers int) list {
-	return list{version: 1, states: slices.Repeat([]string{"active"}, servers)}
+	return list{version: 1, states: slices.Repeat([]string{"active"}, servers),
+		started: make([]time.Time, servers)}
 }
 
 // of is what is said of a number, or else what is usual.
@@ -66,9 +68,12 @@
 }
 
 func (v *list) entry(a *Agent, n int) program.Object {
-	o := &a.lab.o
+	o, started := &a.lab.o, int64(0)
+	if at := v.started[n]; !at.IsZero() {
+		started = at.UnixMilli()
+	}
 	return program.Object{"id": fmt.Sprint("s-", n), "addr": a.servers[n].Addr(), "zone": of(o.Zones, n, "a"),
-		"kind": of(o.Kinds, n, "rapid"), "cell": 1, "state": v.states[n], "weight": 1.0, "started_ms": 0}
+		"kind": of(o.Kinds, n, "rapid"), "cell": 1, "state": v.states[n], "weight": 1.0, "started_ms": started}
 }
 
 func (v *list) whole(a *Agent) program.Object {
@@ -85,8 +90,21 @@
 func (l *Lab) List(server int, state string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list.version++
 	l.list.states[server] = state
+	l.tell(server)
+}
+
+// Restarted has discovery tell all agents that a booking server has started just now.
+func (l *Lab) Restarted(server int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list.started[server] = time.Now()
+	l.tell(server)
+}
+
+// tell tells all agents what the list says of a booking server. The lock is held.
+func (l *Lab) tell(server int) {
+	l.list.version++
 	for _, a := range l.agents {
 		text := program.Line(program.Object{"version": l.list.version, "full": false,
 			"servers": []program.Object{l.list.entry(a, server)}})
@@ -100,6 +118,14 @@
 
 // called answers an agent's call to discovery: with the whole list where it is not up to date.
 func (a *Agent) called(c *standin.Call) {
+	if answer := a.lab.o.Call; answer != nil && answer(a.Number, c) {
+		return
+	}
+	a.Tell(c)
+}
+
+// Tell answers an agent's call to discovery with the list, as the lab does where nobody else answers it.
+func (a *Agent) Tell(c *standin.Call) {
 	l := a.lab
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/rehearsal/lab/lab.go
+++ b/internal/rehearsal/lab/lab.go
@@ -50,6 +50,9 @@
 	// Answer is what a booking server answers to a route step, from a goroutine of its connection; nil: a 200
 	// with the server's name.
 	Answer func(Step) standin.Reply
+	// Call may answer an agent's call to discovery in the lab's place, and tells whether it does; nil: nobody
+	// does.
+	Call func(agent int, c *standin.Call) bool
 	// Log is told the agents' logs; nil: nobody is.
 	Log func(agent, line string)
 	// Lanes is what of the agents' logs goes to the timeline; nil: nothing.
