--- a/internal/routing/answered_test.go
+++ b/internal/routing/answered_test.go
@@ -63,6 +63,17 @@
 	require.Equal(t, decide.Served, (<-reports).(stepEnded).saw.Outcome())
 	require.Equal(t, "000000000000000b", <-came, "and nothing before it")
 
+	// Its end comes while its connection is being opened: by order of events, since the moment between the two is not
+	// to be had from outside. What has begun goes on.
+	crossed := step("000000000000000d")
+	crossed.unwritten()
+	crossed.unwant()
+	require.False(t, crossed.mayWrite())
+	begun := step("000000000000000e")
+	require.True(t, begun.mayWrite())
+	begun.unwant()
+	require.NoError(t, begun.ctx.Err())
+
 	waits := step("000000000000000c")
 	waits.unwant()
 	require.Error(t, waits.ctx.Err(), "it does not wait for its connection any longer")
