--- a/internal/routing/answered_test.go
+++ b/internal/routing/answered_test.go
@@ -50,17 +50,17 @@
 		descriptors: transport.NewDescriptors(16, func() {}), figures: figures.New(nil),
 		bodies: transport.NewBodies(1<<20, transport.BodyRules{Longest: 1 << 20, Stall: time.Second, Lag: time.Second})},
 		l.Addr().(*net.TCPAddr).AddrPort(), func(m any) { reports <- m })
-	step := func(id string) *routeStep {
+	step := func(id string) *attempt {
 		until := k.now() + time.Minute
-		return newStep(&operation{Operation: &protocol.Operation{Method: http.MethodGet, Target: "/consult",
+		return newAttempt(&operation{Operation: &protocol.Operation{Method: http.MethodGet, Target: "/consult",
 			CorrelationID: id, Class: "consult", TimeLeft: time.Minute}}, core.Output{At: until, Deadline: until}, k)
 	}
 	late := step("000000000000000a")
 	late.unwanted = true // as if the answer had crossed the connection's coming up
 	b.mail.put(late)
-	require.Equal(t, decide.CalledOff, (<-reports).(stepEnded).saw.Outcome())
+	require.Equal(t, decide.CalledOff, (<-reports).(attemptEnded).saw.Outcome())
 	b.mail.put(step("000000000000000b"))
-	require.Equal(t, decide.Served, (<-reports).(stepEnded).saw.Outcome())
+	require.Equal(t, decide.Served, (<-reports).(attemptEnded).saw.Outcome())
 	require.Equal(t, "000000000000000b", <-came, "and nothing before it")
 
 	// Its end comes while its connection is being opened: by order of events, since the moment between the two is not
--- a/internal/routing/answers_test.go
+++ b/internal/routing/answers_test.go
@@ -58,7 +58,7 @@
 	return f
 }
 
-// Whatever crosses, with several route steps out: the client has one answer at the most, and that is the first one
+// Whatever crosses, with several attempts out: the client has one answer at the most, and that is the first one
 // that began or was whole; each other body is given up, and nothing is kept.
 func TestOneAnswerWhateverCrosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -74,14 +74,14 @@
 		end := func(i int, f *flow.Flow, saw core.Sighting) {
 			over[i] = true
 			saw.Phase = core.Answering
-			s.handle(stepEnded{step: o.steps[i], saw: saw, reply: protocol.Reply{Flow: f}})
+			s.handle(attemptEnded{attempt: o.attempts[i], saw: saw, reply: protocol.Reply{Flow: f}})
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"begin": func(t *rapid.T) {
 				if i := rapid.IntRange(0, n-1).Draw(t, "i"); !over[i] && begun[i] == nil {
 					begun[i] = s.body(t)
 					flows = append(flows, begun[i])
-					s.handle(stepBegan{o.steps[i], protocol.Reply{Flow: begun[i]}})
+					s.handle(attemptBegan{o.attempts[i], protocol.Reply{Flow: begun[i]}})
 				}
 			},
 			"end": func(t *rapid.T) {
@@ -137,7 +137,7 @@
 		for i, f := range begun {
 			if f != nil {
 				<-f.Over()
-				end(i, nil, core.Sighting{Begun: true, Ending: endingOf(f.Result(), o.steps[i].ctx)})
+				end(i, nil, core.Sighting{Begun: true, Ending: endingOf(f.Result(), o.attempts[i].ctx)})
 			} else if !over[i] {
 				end(i, nil, core.Sighting{Ending: core.OutOfTime})
 			}
@@ -157,7 +157,7 @@
 // What is not the server's doing is not taken for its breaking off.
 func TestEndingOf(t *testing.T) {
 	c := newClock()
-	s := newStep(&operation{}, core.Output{At: c.now() + time.Minute}, c)
+	s := newAttempt(&operation{}, core.Output{At: c.now() + time.Minute}, c)
 	for err, want := range map[error]core.Ending{nil: core.Completed, io.ErrUnexpectedEOF: core.BrokenOff,
 		flow.ErrLeft: core.ClientLeft, transport.ErrSpoilt: core.Spoilt, memory.ErrFull: core.NoMemory} {
 		require.Equal(t, want, endingOf(err, s.ctx))
--- a/internal/routing/crossings_test.go
+++ b/internal/routing/crossings_test.go
@@ -65,19 +65,19 @@
 	return s
 }
 
-// step prepares a route step that has a minute.
-func (s *scene) step(id string) *routeStep {
+// step prepares an attempt that has a minute.
+func (s *scene) step(id string) *attempt {
 	until := s.clock.now() + time.Minute
-	return newStep(&operation{Operation: &protocol.Operation{Method: http.MethodGet, Target: "/consult",
+	return newAttempt(&operation{Operation: &protocol.Operation{Method: http.MethodGet, Target: "/consult",
 		CorrelationID: id, Class: "consult", TimeLeft: time.Minute}}, core.Output{At: until, Deadline: until}, s.clock)
 }
 
-// ended waits for the end of a route step, and returns it with the answer's body.
-func (s *scene) ended() (stepEnded, string) {
+// ended waits for the end of an attempt, and returns it with the answer's body.
+func (s *scene) ended() (attemptEnded, string) {
 	s.t.Helper()
 	select {
 	case m := <-s.reports:
-		end := m.(stepEnded)
+		end := m.(attemptEnded)
 		if end.reply.Flow == nil {
 			return end, ""
 		}
@@ -87,7 +87,7 @@
 		return end, string(body)
 	case <-time.After(time.Minute):
 		require.Fail(s.t, "the step does not end")
-		return stepEnded{}, ""
+		return attemptEnded{}, ""
 	}
 }
 
@@ -95,7 +95,7 @@
 
 func answerOf(id string) string { return fmt.Sprintf(answerHead, len(id), id) }
 
-// A second answer comes late, when the next route step has got its connection already: it is nobody's. The next one
+// A second answer comes late, when the next attempt has got its connection already: it is nobody's. The next one
 // waits until the connection has settled, and goes out on another one when something comes meanwhile. The server
 // writes the second answer as soon as it has read the next request, else so much later.
 func TestSecondAnswerComesLate(t *testing.T) {
@@ -134,7 +134,7 @@
 	require.Equal(t, "000000000000000b", body, "not another's")
 }
 
-// A route step that is given up while its connection settles is not sent on, and the connection stays as it was: the
+// A attempt that is given up while its connection settles is not sent on, and the connection stays as it was: the
 // time that it has stood idle goes on.
 func TestGivenUpWhileTheConnectionSettles(t *testing.T) {
 	came := make(chan string, 4)
@@ -151,12 +151,12 @@
 	s.booking.mail.put(s.step("000000000000000a"))
 	s.ended()
 	for _, c := range []struct {
-		end  func(*routeStep)
+		end  func(*attempt)
 		want decide.Outcome
 	}{
-		{(*routeStep).unwant, decide.CalledOff},
-		{func(r *routeStep) { r.cancel(core.CalledOff) }, decide.CalledOff},
-		{func(r *routeStep) { r.cancel(core.OutOfTime) }, decide.NoConnection},
+		{(*attempt).unwant, decide.CalledOff},
+		{func(r *attempt) { r.cancel(core.CalledOff) }, decide.CalledOff},
+		{func(r *attempt) { r.cancel(core.OutOfTime) }, decide.NoConnection},
 	} {
 		step := s.step("000000000000000b")
 		s.booking.mail.put(step)
@@ -187,7 +187,7 @@
 		rest := flow.New(-1, memory.Grant{}, 0)
 		rest.End(io.EOF)
 		until := s.clock.now() + 15*time.Minute // it may come for so long
-		step := newStep(&operation{Operation: &protocol.Operation{Method: http.MethodPost, Target: "/rezervare",
+		step := newAttempt(&operation{Operation: &protocol.Operation{Method: http.MethodPost, Target: "/rezervare",
 			CorrelationID: "000000000000000a", Class: "rezervare", TimeLeft: time.Minute, Length: -1, Rest: rest}},
 			core.Output{At: until, Deadline: until, After: time.Minute}, s.clock)
 		if comesWhole { // and so much of its time is left
@@ -208,10 +208,10 @@
 // ended is not begun again on a new one, whichever of the two is told first.
 func TestNotBegunAgainForNobody(t *testing.T) {
 	s := play(t, func(int, *net.TCPConn) {}, nil)
-	for name, cross := range map[string]func(*routeStep){
-		"before it is written":        func(r *routeStep) { r.unwant(); r.mayWrite(); r.unwritten() },
-		"as it is written":            func(r *routeStep) { r.mayWrite(); r.unwant(); r.unwritten() },
-		"as a new connection is made": func(r *routeStep) { r.mayWrite(); r.unwritten(); r.unwant() },
+	for name, cross := range map[string]func(*attempt){
+		"before it is written":        func(r *attempt) { r.unwant(); r.mayWrite(); r.unwritten() },
+		"as it is written":            func(r *attempt) { r.mayWrite(); r.unwant(); r.unwritten() },
+		"as a new connection is made": func(r *attempt) { r.mayWrite(); r.unwritten(); r.unwant() },
 	} {
 		step := s.step("000000000000000a")
 		cross(step)
--- a/internal/routing/module.go
+++ b/internal/routing/module.go
@@ -76,18 +76,18 @@
 	agents     *agents
 	servers    map[string]*booking
 	operations map[uint32]*operation
-	reply      protocol.Reply // of the route step that the core is being told of
+	reply      protocol.Reply // of the attempt that the core is being told of
 }
 
 // operation is an operation that the core knows, under its number. All but answer is the module's actor's.
 type operation struct {
 	*protocol.Operation
-	id     uint32
-	answer chan protocol.Answer
-	steps  []*routeStep // by their attempts; those that were not started are nil
+	id       uint32
+	answer   chan protocol.Answer
+	attempts []*attempt // by their numbers; nil: not started
 }
 
-// The messages of the module's actor, beside *operation, stepBegan, stepEnded, poolNews and
+// The messages of the module's actor, beside *operation, attemptBegan, attemptEnded, poolNews and
 // protocol.Datagram.
 type (
 	clientGone struct{ operation *operation }
@@ -146,7 +146,7 @@
 	return a, nil
 }
 
-// connectWait is how long a route step waits for its connection at the most. Guards against one that is sent
+// connectWait is how long an attempt waits for its connection at the most. Guards against one that is sent
 // on, after the grace, to a booking server which began to drain meanwhile: half of that is left for its way.
 func connectWait(set protocol.Settings) time.Duration {
 	if grace := set.Rules.DrainGrace; grace > 0 {
@@ -296,11 +296,11 @@
 	switch m := m.(type) {
 	case *operation:
 		a.begin(now, m)
-	case stepBegan:
+	case attemptBegan:
 		a.began(now, m)
-	case stepEnded:
+	case attemptEnded:
 		a.reply = m.reply
-		a.do(a.router.StepEnded(now, m.step.operation.id, m.step.attempt, m.saw))
+		a.do(a.router.StepEnded(now, m.attempt.operation.id, m.attempt.number, m.saw))
 		a.drop()
 	case clientGone:
 		a.do(a.router.ClientGone(now, m.operation.id))
@@ -411,10 +411,10 @@
 }
 
 // began takes an answer that is longer than what is held whole.
-func (a *Agent) began(now time.Duration, m stepBegan) {
+func (a *Agent) began(now time.Duration, m attemptBegan) {
 	a.reply = m.reply
-	if m.step.timer.Stop() { // else its time is up, and its end will be told
-		a.do(a.router.StepBegan(now, m.step.operation.id, m.step.attempt))
+	if m.attempt.timer.Stop() { // else its time is up, and its end will be told
+		a.do(a.router.StepBegan(now, m.attempt.operation.id, m.attempt.number))
 	}
 	a.drop()
 }
@@ -451,18 +451,18 @@
 	case core.Answer:
 		a.answer(o, out)
 	case core.StartStep:
-		s := newStep(o, *out, a.clock)
-		for len(o.steps) <= out.Attempt {
-			o.steps = append(o.steps, nil)
+		s := newAttempt(o, *out, a.clock)
+		for len(o.attempts) <= out.Attempt {
+			o.attempts = append(o.attempts, nil)
 		}
-		o.steps[out.Attempt] = s
+		o.attempts[out.Attempt] = s
 		a.servers[out.Server].mail.put(s)
 	case core.RetimeStep:
-		o.steps[out.Attempt].retime(a.clock.time(out.At), a.clock.time(out.Deadline))
+		o.attempts[out.Attempt].retime(a.clock.time(out.At), a.clock.time(out.Deadline))
 	case core.CancelStep:
-		o.steps[out.Attempt].cancel(out.Why)
+		o.attempts[out.Attempt].cancel(out.Why)
 	case core.UnwantStep:
-		o.steps[out.Attempt].unwant()
+		o.attempts[out.Attempt].unwant()
 	case core.Forget:
 		o.Release()
 		delete(a.operations, out.Operation)
