--- a/internal/rehearsal/lab/script.go
+++ b/internal/rehearsal/lab/script.go
@@ -58,10 +58,9 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
 
 // fault is a trouble that can begin, and then end.
--- a/internal/routing/crossings_test.go
+++ b/internal/routing/crossings_test.go
@@ -95,6 +95,19 @@
 
 func answerOf(id string) string { return fmt.Sprintf(answerHead, len(id), id) }
 
+// answerAll answers the requests of a connection by their ids, until it ends. Came is told each, before its body has come.
+func answerAll(c *net.TCPConn, came func(*http.Request)) {
+	for in := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		came(r)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
+	}
+}
+
 // A second answer comes late, when the next attempt has got its connection already: it is nobody's. The next one
 // waits until the connection has settled, and goes out on another one when something comes meanwhile. The server
 // writes the second answer as soon as it has read the next request, else so much later.
@@ -134,19 +147,12 @@
 	require.Equal(t, "000000000000000b", body, "not another's")
 }
 
-// A attempt that is given up while its connection settles is not sent on, and the connection stays as it was: the
+// An attempt that is given up while its connection settles is not sent on, and the connection stays as it was: the
 // time that it has stood idle goes on.
 func TestGivenUpWhileTheConnectionSettles(t *testing.T) {
 	came := make(chan string, 4)
 	s := play(t, func(_ int, c *net.TCPConn) {
-		for in := bufio.NewReader(c); ; {
-			r, err := http.ReadRequest(in)
-			if err != nil {
-				return
-			}
-			came <- r.Header.Get("X-Correlation-Id")
-			_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
-		}
+		answerAll(c, func(r *http.Request) { came <- r.Header.Get("X-Correlation-Id") })
 	}, func(set *upstreamSettings) { set.settle = time.Minute })
 	s.booking.mail.put(s.step("000000000000000a"))
 	s.ended()
@@ -173,15 +179,7 @@
 func TestTimeToldOfARequestThatCameWhole(t *testing.T) {
 	told := make(chan string, 1)
 	s := play(t, func(_ int, c *net.TCPConn) {
-		for in := bufio.NewReader(c); ; {
-			r, err := http.ReadRequest(in)
-			if err != nil {
-				return
-			}
-			told <- r.Header.Get("X-Time-Left-Ms")
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(c, answerOf(r.Header.Get("X-Correlation-Id")))
-		}
+		answerAll(c, func(r *http.Request) { told <- r.Header.Get("X-Time-Left-Ms") })
 	}, nil)
 	step := func(left time.Duration, comesWhole bool) (ms int) {
 		rest := flow.New(-1, memory.Grant{}, 0)
