Discovery's calls in the log and at /ops/discovery; warning without a watch

Each call has lines with its number, address, reason, duration and silence now; after 6 s without an accepted watch a warning is logged and repeated; GET /ops/discovery has the state for monitoring. The list tracker no longer asks for a log line about a failed call: the actor logs the ends of all calls, those of former addresses too.

TestOpsDiscoveryTellsWhetherTheListIsWatched; tests of agent, routing, transport, protocol, metrics and docs pass.

--- a/cmd/dunestep/manual.go
+++ b/cmd/dunestep/manual.go
@@ -67,6 +67,9 @@
 // Delays returns how long the decisions' messages waited and took.
 func (m *manualControl) Delays() map[string]metrics.Delays { return m.metrics.ReadDelays() }
 
+// Discovery implements transport.OpsHandler.
+func (m *manualControl) Discovery() metrics.Discovery { return m.metrics.ReadDiscovery() }
+
 // Metrics returns the current values of the agent's counters.
 func (m *manualControl) Metrics() metrics.Reading { return m.metrics.Read() }
 
--- a/cmd/dunestep/ops_test.go
+++ b/cmd/dunestep/ops_test.go
@@ -244,3 +244,29 @@
 	require.Equal(t, []any{200, false}, w.statusAndClose())
 	w.requireOpsOK("POST", "/ops/drain/start", "") // SIGTERM follows while drained
 }
+
+// The state of the calls to discovery tells whether the list is watched, and for how long nothing came.
+func TestOpsDiscoveryTellsWhetherTheListIsWatched(t *testing.T) {
+	w := newTestbed(t, 1)
+	w.opsAddr = uniqueAddr(t)
+	w.start()
+	w.waitUntil("watch", func() bool { return w.discovery.watchCount() == 1 })
+	var state struct {
+		Address       string   `json:"address"`
+		Watches       int      `json:"watches"`
+		CallsUnderWay int      `json:"calls_under_way"`
+		SilentMS      *float64 `json:"silent_ms"`
+	}
+	read := func() {
+		status, text := w.callOps("GET", "/ops/discovery", "")
+		require.Equal(t, http.StatusOK, status)
+		require.NoError(t, json.Unmarshal([]byte(text), &state))
+	}
+	w.waitUntil("an empty line", func() bool { read(); return state.SilentMS != nil })
+	require.Equal(t, w.discovery.addr, state.Address)
+	require.Equal(t, []int{1, 1}, []int{state.Watches, state.CallsUnderWay})
+	w.discovery.setResponse(http.StatusServiceUnavailable, false)
+	w.discovery.endWatches()
+	w.waitUntil("no watch", func() bool { read(); return state.Watches == 0 })
+	w.waitUntil("a line in the log", func() bool { return strings.Contains(w.log.String(), "no watch of the endpoint list") })
+}
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -35,6 +35,7 @@
 	report  func(listUpdate)
 	clock   clock
 	metrics *metrics.Counters
+	log     *watchLog
 }
 
 // The messages of the list's actor.
@@ -44,11 +45,15 @@
 	fetchList            struct{}
 	callAccepted         struct{ call int }
 	// callIdle reports that confirmAfterSilence has passed since the call was accepted.
-	callIdle     struct{ call int }
-	callReceived struct {
+	callIdle struct{ call int }
+	// callKeptAlive reports that the call received an empty line.
+	callKeptAlive struct{ call int }
+	callReceived  struct {
 		call int
 		list protocol.EndpointList
 	}
+	// unwatched reports that no watch was accepted for a while.
+	unwatched struct{}
 	callEnded struct {
 		call int
 		err  error
@@ -86,6 +91,7 @@
 		mail: newMailbox[any](), tracker: routing.NewListTracker(addr, initial, disabled),
 		calls: map[int]context.CancelFunc{}, report: report, clock: clock, metrics: m,
 	}
+	l.log = newWatchLog(m, addr, func() { l.mail.put(unwatched{}) })
 	l.report(
 		listUpdate{kind: balancer.UpdateCached, list: l.tracker.ApplyDisabled(initial), discoveryList: initial},
 	)
@@ -98,20 +104,27 @@
 func (l *listActor) handle(m any) bool {
 	switch m := m.(type) {
 	case watchList:
-		l.carryOut(l.tracker.Watch())
+		l.carryOut(l.tracker.Watch(), scheduledCall)
 	case discoveryAddrChanged:
-		l.carryOut(l.tracker.SetAddress(m.addr))
+		l.carryOut(l.tracker.SetAddress(m.addr), callAtNewAddress)
 	case fetchList:
-		l.carryOut(l.tracker.Fetch())
+		l.carryOut(l.tracker.Fetch(), completeListCall)
 	case callAccepted:
-		l.carryOut(l.tracker.CallAccepted(m.call))
+		l.log.callAccepted(m.call)
+		l.carryOut(l.tracker.CallAccepted(m.call), noCallStarted)
 	case callIdle:
-		l.carryOut(l.tracker.CallIdle(m.call))
+		l.carryOut(l.tracker.CallIdle(m.call), noCallStarted)
+	case callKeptAlive:
+		l.log.received(m.call)
 	case callReceived:
-		l.carryOut(l.tracker.CallReceived(m.call, m.list))
+		l.log.received(m.call)
+		l.carryOut(l.tracker.CallReceived(m.call, m.list), noCallStarted)
 	case callEnded:
 		delete(l.calls, m.call)
-		l.carryOut(l.tracker.CallEnded(m.call, m.err))
+		l.log.callEnded(m.call, m.err)
+		l.carryOut(l.tracker.CallEnded(m.call, m.err), noCallStarted)
+	case unwatched:
+		l.log.warnUnwatched()
 	case setDisabled:
 		m.reply <- l.setDisabled(m)
 	case listedQuery:
@@ -119,7 +132,7 @@
 	case endpointsQuery:
 		m.reply <- l.tracker.Endpoints()
 	case mergeDisabled:
-		l.carryOut(l.tracker.MergeDisabled(m.disabled))
+		l.carryOut(l.tracker.MergeDisabled(m.disabled), noCallStarted)
 	}
 	l.reportSize()
 	return true
@@ -133,7 +146,7 @@
 	} else {
 		out, r.listed, r.err = l.tracker.Disable(m.id, l.clock.now())
 	}
-	l.carryOut(out)
+	l.carryOut(out, noCallStarted)
 	r.disabled = l.tracker.Disabled()
 	return r
 }
@@ -144,13 +157,14 @@
 	l.metrics.SetEndpoints(metrics.Endpoints{Listed: listed, Disabled: disabled})
 }
 
-// carryOut carries out the tracker's outputs, in order.
-func (l *listActor) carryOut(out []routing.ListOutput) {
+// carryOut carries out the tracker's outputs, in order. reason is why they start a call, if they do.
+func (l *listActor) carryOut(out []routing.ListOutput, reason callReason) {
 	for _, o := range out {
 		switch o.Kind {
 		case routing.StartCall:
 			ctx, cancel := context.WithCancel(context.Background())
 			l.calls[o.Call] = cancel
+			l.log.callStarted(o, reason)
 			go l.call(ctx, o)
 		case routing.EndCall:
 			if cancel := l.calls[o.Call]; cancel != nil {
@@ -164,8 +178,6 @@
 		case routing.ListOutOfOrder:
 			slog.Warn("endpoint list update out of order, fetching the full list", "version", o.Version,
 				"known", o.KnownVersion)
-		case routing.CallFailed:
-			slog.Warn("discovery call ended", "error", o.Err)
 		}
 	}
 }
@@ -178,7 +190,8 @@
 		l.mail.put(callAccepted{o.Call})
 		time.AfterFunc(confirmAfterSilence, func() { l.mail.put(callIdle{o.Call}) })
 	}
-	err := transport.CallDiscovery(ctx, o.Addr, o.Request, accepted, func(raw []byte) {
+	keptAlive := func() { l.mail.put(callKeptAlive{o.Call}) }
+	received := func(raw []byte) {
 		list, err := protocol.DecodeEndpointList(raw, func(err error) {
 			slog.Warn("invalid endpoint list entry dropped", "error", err)
 		})
@@ -187,6 +200,9 @@
 			return
 		}
 		l.mail.put(callReceived{call: o.Call, list: list})
+	}
+	err := transport.CallDiscovery(ctx, o.Addr, o.Request, transport.CallHandlers{
+		Accepted: accepted, KeptAlive: keptAlive, Object: received,
 	})
 	if cause := context.Cause(ctx); cause != nil && err != nil {
 		err = cause
--- a/internal/metrics/counters.go
+++ b/internal/metrics/counters.go
@@ -25,6 +25,7 @@
 	active    atomic.Int64
 	endpoints atomic.Pointer[Endpoints]
 	ejected   atomic.Int64
+	discovery atomic.Pointer[Discovery]
 	delays    messageDelays
 }
 
@@ -44,6 +45,7 @@
 		c.classes[class] = new([endingCount]atomic.Int64)
 	}
 	c.endpoints.Store(&Endpoints{})
+	c.discovery.Store(&Discovery{})
 	return c
 }
 
--- a/internal/protocol/ops.go
+++ b/internal/protocol/ops.go
@@ -25,6 +25,7 @@
 	OpsDrainStart
 	OpsDrainStop
 	OpsDelays
+	OpsDiscovery
 	OpsFleetStatus
 	OpsFleetDisable // OpsCall.ID
 	OpsFleetEnable  // OpsCall.ID
@@ -92,6 +93,7 @@
 	"/ops/readiness":            {http.MethodGet, OpsReadiness},
 	"/ops/stats":                {http.MethodGet, OpsStats},
 	"/ops/delays":               {http.MethodGet, OpsDelays},
+	"/ops/discovery":            {http.MethodGet, OpsDiscovery},
 	"/ops/booking-servers/down": {http.MethodPost, OpsDisable},
 	"/ops/booking-servers/up":   {http.MethodPost, OpsEnable},
 	"/ops/drain/start":          {http.MethodPost, OpsDrainStart},
@@ -240,5 +242,20 @@
 	return json.Marshal(out)
 }
 
+// EncodeOpsDiscovery encodes the state of the calls to discovery at a time as JSON.
+func EncodeOpsDiscovery(d metrics.Discovery, now time.Time) ([]byte, error) {
+	out := struct {
+		Address       string   `json:"address"`
+		Watches       int      `json:"watches"`
+		CallsUnderWay int      `json:"calls_under_way"`
+		SilentMS      *float64 `json:"silent_ms"` // null: nothing was received on a call under way
+	}{d.Address.String(), d.Watches, d.CallsUnderWay, nil}
+	if !d.ReceivedAt.IsZero() {
+		silent := milliseconds(now.Sub(d.ReceivedAt))
+		out.SilentMS = &silent
+	}
+	return json.Marshal(out)
+}
+
 // milliseconds returns a duration in milliseconds, to the microsecond.
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/protocol/opsgolden_test.go
+++ b/internal/protocol/opsgolden_test.go
@@ -29,6 +29,7 @@
 		{"GET", "/ops/readiness", "", OpsCall{Kind: OpsReadiness}, false},
 		{"GET", "/ops/stats", "", OpsCall{Kind: OpsStats}, false},
 		{"GET", "/ops/delays", "", OpsCall{Kind: OpsDelays}, false},
+		{"GET", "/ops/discovery", "", OpsCall{Kind: OpsDiscovery}, false},
 		{"POST", "/ops/booking-servers/down", "s-0\n", OpsCall{Kind: OpsDisable, ID: "s-0"}, false},
 		{"POST", "/ops/booking-servers/up", "s-0", OpsCall{Kind: OpsEnable, ID: "s-0"}, false},
 		{"POST", "/ops/drain/start", "", OpsCall{Kind: OpsDrainStart}, false},
--- a/internal/routing/listcalls.go
+++ b/internal/routing/listcalls.go
@@ -88,7 +88,6 @@
 	case call == l.formerWatch:
 		l.formerWatchEnded(err)
 	case call == l.watchCall || fetched && err != nil:
-		l.emit(ListOutput{Kind: CallFailed, Err: err})
 		status := watchEnd(err, call == l.watchCall && l.accepted)
 		switch {
 		case call == l.watchCall && l.outOfOrder:
--- a/internal/routing/listtracker.go
+++ b/internal/routing/listtracker.go
@@ -22,8 +22,6 @@
 	ListUpdate
 	// ListOutOfOrder requests a log line about an update that is out of order: Version, KnownVersion.
 	ListOutOfOrder
-	// CallFailed requests a log line about a call that ended: Err.
-	CallFailed
 )
 
 // ListOutput is one output of a ListTracker, for the caller to carry out. Which fields are set depends on
@@ -40,7 +38,6 @@
 	Confirms      bool                  // discovery has confirmed that the list is up to date
 	Version       int64
 	KnownVersion  int64
-	Err           error
 }
 
 // ListTracker tracks the endpoint list's version, the calls to discovery and the endpoints that an operator
--- a/internal/routing/listtracker_test.go
+++ b/internal/routing/listtracker_test.go
@@ -21,9 +21,9 @@
 	starts := func(call int, from int64, addr netip.AddrPort) ListOutput {
 		return ListOutput{Kind: StartCall, Call: call, Addr: addr, Request: protocol.ListRequest{Watch: true, FromVersion: from}}
 	}
-	failed := func(call error, end backoff.CallResult, w balancer.WatchStatus) []ListOutput {
+	failed := func(end backoff.CallResult, w balancer.WatchStatus) []ListOutput {
 		w.End = end
-		return []ListOutput{{Kind: CallFailed, Err: call}, {Kind: ListUpdate, Update: balancer.UpdateFailed, Watch: w}}
+		return []ListOutput{{Kind: ListUpdate, Update: balancer.UpdateFailed, Watch: w}}
 	}
 	updated := func(kind balancer.UpdateKind, c protocol.EndpointList) ListOutput {
 		return ListOutput{Kind: ListUpdate, Update: kind, List: c, DiscoveryList: c, Confirms: c.Version > 0}
@@ -44,12 +44,12 @@
 		{k(l.Watch()), []ListOutput{ends(1), starts(2, 44, firstAddr)}},
 		{k(l.CallReceived(1, at(50, false))), nil}, // the call was replaced
 		{k(l.CallEnded(1, lost)), nil},
-		{k(l.CallEnded(2, lost)), failed(lost, backoff.CallFailed, balancer.WatchStatus{})},
+		{k(l.CallEnded(2, lost)), failed(backoff.CallFailed, balancer.WatchStatus{})},
 		{k(l.Watch()), []ListOutput{ends(2), starts(3, 44, firstAddr)}},
 		{k(l.SetAddress(firstAddr)), nil},
 		{k(l.SetAddress(secondAddr)), []ListOutput{starts(4, 44, secondAddr)}},
 		{k(l.CallReceived(3, at(45, false))), []ListOutput{updated(balancer.UpdateIncremental, at(45, false))}}, // accepted until the new watch is
-		{k(l.CallEnded(4, lost)), failed(lost, backoff.AddressMoved, balancer.WatchStatus{})},
+		{k(l.CallEnded(4, lost)), failed(backoff.AddressMoved, balancer.WatchStatus{})},
 		{k(l.Watch()), []ListOutput{ends(4), starts(5, 45, secondAddr)}},                                        // the decision module retries
 		{k(l.CallReceived(3, at(46, false))), []ListOutput{updated(balancer.UpdateIncremental, at(46, false))}}, // the new watch is still not accepted
 		{k(l.SetAddress(firstAddr)), []ListOutput{ends(3), starts(6, 46, firstAddr)}},
@@ -61,7 +61,7 @@
 		{k(l.CallReceived(8, at(12, false))), []ListOutput{{Kind: ListOutOfOrder, Version: 12, KnownVersion: 46}, ends(8)}},
 		{k(l.CallReceived(8, at(47, false))), nil}, // accepting it would make the next watch start after this version
 		{k(l.CallIdle(8)), nil}, // the known list is incomplete
-		{k(l.CallEnded(8, lost)), failed(lost, backoff.Unreadable, balancer.WatchStatus{})},
+		{k(l.CallEnded(8, lost)), failed(backoff.Unreadable, balancer.WatchStatus{})},
 		{k(l.Watch()), []ListOutput{ends(8), starts(9, 0, firstAddr)}},
 		{k(l.CallReceived(9, at(45, true))), []ListOutput{updated(balancer.UpdateFull, at(45, true))}},
 		{k(l.Fetch()), []ListOutput{{Kind: StartCall, Call: 10, Addr: firstAddr}}},
@@ -75,10 +75,10 @@
 			Watch: balancer.WatchStatus{End: backoff.WatchSilent, SilentFor: time.Second, Replaced: true},
 		}}}, // the former watch was silent
 		{k(l.CallAccepted(11)), []ListOutput{accepted}},
-		{k(l.CallEnded(11, silence)), failed(silence, backoff.WatchSilent, balancer.WatchStatus{SilentFor: time.Second})},
+		{k(l.CallEnded(11, silence)), failed(backoff.WatchSilent, balancer.WatchStatus{SilentFor: time.Second})},
 		{k(l.Watch()), []ListOutput{ends(11), starts(12, 45, secondAddr)}},
 		{k(l.CallAccepted(12)), []ListOutput{accepted}},
-		{k(l.CallEnded(12, lost)), failed(lost, backoff.WatchLost, balancer.WatchStatus{})},
+		{k(l.CallEnded(12, lost)), failed(backoff.WatchLost, balancer.WatchStatus{})},
 		{k(l.CallIdle(12)), nil}, // the call has ended
 	} {
 		require.ElementsMatch(t, c.want, c.got, i)
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -32,12 +32,17 @@
 // errListTooLong means that an object of discovery has more than maxObjectBytes. On-call staff know its text.
 var errListTooLong = errors.New("discovery's list is too long")
 
+// CallHandlers are called with the progress of a call, from the caller's goroutine.
+type CallHandlers struct {
+	Accepted  func()       // discovery has accepted the call
+	KeptAlive func()       // a watch has received an empty line between objects
+	Object    func([]byte) // an object was received, whose bytes are valid until the function returns
+}
+
 // CallDiscovery makes one call for the endpoint list: a watch from a version on, or the complete list once.
-// It returns when the call has ended; nil only if a complete list was received. It calls onAccepted when
-// discovery has accepted the call, and onObject for each object of the response, whose bytes are valid only
-// until onObject returns. Both are called from the caller's goroutine.
-func CallDiscovery(ctx context.Context, addr netip.AddrPort, call protocol.ListRequest, onAccepted func(),
-	onObject func([]byte),
+// It returns when the call has ended; nil only if a complete list was received.
+func CallDiscovery(ctx context.Context, addr netip.AddrPort, call protocol.ListRequest,
+	handlers CallHandlers,
 ) error {
 	startedAt := time.Now()
 	var dialer net.Dialer
@@ -51,7 +56,7 @@
 	defer closeConn()
 	defer context.AfterFunc(ctx, closeConn)()
 	silence := newSilenceTimer(responseTimeout-time.Since(startedAt), unreadInputOf(conn), closeConn)
-	err = exchangeList(conn, addr, call, silence, onAccepted, onObject)
+	err = exchangeList(conn, addr, call, silence, handlers)
 	if expired := silence.stop(); expired > 0 {
 		return &routing.SilenceError{Duration: expired}
 	}
@@ -73,7 +78,7 @@
 
 // exchangeList sends a call and reads the response on a connection.
 func exchangeList(conn net.Conn, addr netip.AddrPort, call protocol.ListRequest, silence *silenceTimer,
-	onAccepted func(), onObject func([]byte),
+	handlers CallHandlers,
 ) error {
 	if _, err := conn.Write(protocol.AppendListRequest(nil, addr.String(), call)); err != nil {
 		return err
@@ -84,13 +89,13 @@
 	}
 	defer func() { _ = body.Close() }() // everything needed was read
 	silence.reset(watchSilenceTimeout)
-	onAccepted()
+	handlers.Accepted()
 	if call.Watch {
-		return readObjects(&watchBody{Reader: body, silence: silence}, onObject)
+		return readObjects(&watchBody{Reader: body, silence: silence, onKeptAlive: handlers.KeptAlive}, handlers.Object)
 	}
 	list, err := io.ReadAll(io.LimitReader(body, maxObjectBytes))
 	if err == nil {
-		onObject(list)
+		handlers.Object(list)
 	}
 	return err
 }
@@ -121,7 +126,8 @@
 // incomplete: until the next watch, no drain and no new server would be noticed.
 type watchBody struct {
 	io.Reader
-	silence *silenceTimer
+	silence     *silenceTimer
+	onKeptAlive func()
 	// bytes that Read returned; excludes empty lines between objects, which would accumulate in the decoder
 	returned  int64
 	nonBlank  int64 // bytes up to the last one that is not white space
@@ -140,9 +146,13 @@
 			w.nonBlank = w.returned + int64(content)
 		}
 		// empty lines are not progress of an object
-		if isInObject := w.nonBlank > w.objectEnd; content > 0 || n > 0 && !isInObject {
+		isInObject := w.nonBlank > w.objectEnd
+		if content > 0 || n > 0 && !isInObject {
 			w.resetSilence()
 		}
+		if n > 0 && !isInObject {
+			w.onKeptAlive()
+		}
 		if err != nil || w.nonBlank > w.objectEnd {
 			w.returned += int64(n)
 			return n, err
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -45,7 +45,9 @@
 	var objects []string
 	startedAt := time.Now()
 	err = CallDiscovery(context.Background(), netip.MustParseAddrPort(l.Addr().String()),
-		protocol.ListRequest{Watch: true}, func() {}, func(raw []byte) { objects = append(objects, string(raw)) })
+		protocol.ListRequest{Watch: true}, CallHandlers{
+			Accepted: func() {}, KeptAlive: func() {}, Object: func(raw []byte) { objects = append(objects, string(raw)) },
+		})
 	var silence *routing.SilenceError
 	require.ErrorAs(t, err, &silence)
 	require.Equal(t, objectStallTimeout, silence.Duration)
@@ -57,7 +59,7 @@
 func TestEndlessObjectIsAnError(t *testing.T) {
 	endless := io.MultiReader(strings.NewReader("{"), endlessBlanks{})
 	silence := newSilenceTimer(time.Hour, nil, func() {})
-	err := readObjects(&watchBody{Reader: endless, silence: silence}, func([]byte) {})
+	err := readObjects(&watchBody{Reader: endless, silence: silence, onKeptAlive: func() {}}, func([]byte) {})
 	var unread *routing.UnreadableError
 	require.ErrorAs(t, err, &unread)
 	require.ErrorIs(t, unread.Err, errListTooLong)
@@ -89,14 +91,15 @@
 	var objects []string
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	err = CallDiscovery(ctx, netip.MustParseAddrPort(l.Addr().String()), protocol.ListRequest{Watch: true}, func() {},
-		func(raw []byte) {
+	err = CallDiscovery(ctx, netip.MustParseAddrPort(l.Addr().String()), protocol.ListRequest{Watch: true}, CallHandlers{
+		Accepted: func() {}, KeptAlive: func() {}, Object: func(raw []byte) {
 			objects = append(objects, string(raw))
 			time.Sleep(objectStallTimeout + 200*time.Millisecond)
 			if len(objects) == 2 {
 				cancel()
 			}
-		})
+		},
+	})
 	require.Equal(t, []string{`{"version":43}`, `{"version":44}`}, objects)
 	var silence *routing.SilenceError
 	require.NotErrorAs(t, err, &silence)
--- a/internal/transport/ops.go
+++ b/internal/transport/ops.go
@@ -32,6 +32,8 @@
 	Metrics() metrics.Reading
 	// Delays returns how long the decisions' messages waited and took, by kind of message.
 	Delays() map[string]metrics.Delays
+	// Discovery returns the state of the calls to discovery.
+	Discovery() metrics.Discovery
 	// DisableEndpoint takes an endpoint out of use, EnableEndpoint puts it back into use. listed is false if no
 	// endpoint list ever contained the id. An error means that it could not be done.
 	DisableEndpoint(ctx context.Context, id string) (listed bool, err error)
@@ -105,6 +107,10 @@
 		status, text = jsonResponse(w, func() ([]byte, error) { return protocol.EncodeOpsStats(handler.Metrics()) })
 	case call.Kind == protocol.OpsDelays:
 		status, text = jsonResponse(w, func() ([]byte, error) { return protocol.EncodeOpsDelays(handler.Delays()) })
+	case call.Kind == protocol.OpsDiscovery:
+		status, text = jsonResponse(w, func() ([]byte, error) {
+			return protocol.EncodeOpsDiscovery(handler.Discovery(), time.Now())
+		})
 	case call.Kind == protocol.OpsDisable:
 		status, text = disableResponse(handler.DisableEndpoint(ctx, call.ID))
 	case call.Kind == protocol.OpsEnable:
