--- a/cmd/dunestep/discovery_test.go
+++ b/cmd/dunestep/discovery_test.go
@@ -21,10 +21,19 @@
 	withoutKeepalives bool          // send no empty lines
 	initialText       string        // first text on each new watch
 	responseDelay     time.Duration // delay before a call is answered
+	nextAnswers       []callAnswer  // how the next calls are answered, before the fields above hold
 	calls             []string
 	watches           map[*standin.Call]bool
 }
 
+// callAnswer is how one call is answered.
+type callAnswer struct {
+	status   int // as discovery.status
+	delay    time.Duration
+	text     string        // first text on the watch
+	endAfter time.Duration // until the watch is ended, from its begin; zero: it is not ended
+}
+
 func newDiscovery(t testing.TB) *discovery {
 	d := &discovery{status: http.StatusOK, watches: map[*standin.Call]bool{}}
 	socket, err := standin.ListenDiscovery("127.0.0.1:0", 500*time.Millisecond, d.callReceived, d.callEnded)
@@ -39,29 +48,53 @@
 	defer d.mu.Unlock()
 	d.calls = append(d.calls, c.Target)
 	c.NoEmptyLines = d.withoutKeepalives
-	switch d.status {
-	case 0: // send no response
-	case http.StatusOK:
-		if d.responseDelay == 0 {
-			d.beginWatch(c)
-			return
+	answer := callAnswer{status: d.status, delay: d.responseDelay}
+	isScripted := len(d.nextAnswers) > 0
+	if isScripted {
+		answer, d.nextAnswers = d.nextAnswers[0], d.nextAnswers[1:]
+	}
+	begin := func() {
+		if !isScripted {
+			answer.text = d.initialText // as it is then
 		}
-		time.AfterFunc(d.responseDelay, func() {
+		d.beginWatch(c, answer)
+	}
+	switch {
+	case answer.status == 0: // send no response
+	case answer.status != http.StatusOK:
+		c.WriteStatus(answer.status)
+		c.End()
+	case answer.delay == 0:
+		begin()
+	default:
+		time.AfterFunc(answer.delay, func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.beginWatch(c)
+			begin()
 		})
-	default:
-		c.WriteStatus(d.status)
-		c.End()
 	}
 }
 
 // beginWatch accepts a watch. The caller holds mu.
-func (d *discovery) beginWatch(c *standin.Call) {
+func (d *discovery) beginWatch(c *standin.Call, answer callAnswer) {
 	d.watches[c] = true
 	c.WriteStatus(http.StatusOK)
-	c.Write(d.initialText)
+	c.Write(answer.text)
+	if answer.endAfter > 0 {
+		time.AfterFunc(answer.endAfter, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			c.End()
+			delete(d.watches, c)
+		})
+	}
+}
+
+// answerNext sets how the next calls are answered.
+func (d *discovery) answerNext(answers ...callAnswer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextAnswers = answers
 }
 
 func (d *discovery) callEnded(c *standin.Call) {
