Discovery is called again whatever other calls receive: one owner of the watch's state

Cause: Balancer.trackDiscoveryCall took a list from any call as the answer of discovery (Schedule.Answered), also one on the watch at a former address; the timer of the planned retry then made no call, since it asked 'was anything missed' and not 'is there a watch'. The end of the former watch was reported only as a silence, and planned nothing. Four places each held a part of the state.

Change: backoff.Schedule has a phase (calling, watching, waiting), each left by an event that is certain to come; it alone says when a call is due. Balancer asks it at each timer and each round, so that a lost timer is made up for. ListTracker reports start at a new address, acceptance and end of the current watch once each, and marks what comes from another call. An accepted watch is not replaced by a planned call. The latest accepted watch is kept through several moves, until the new one has received a list or an empty line (an acceptance alone proves nothing); an older list there is dropped, and no longer ends the new watch. After a move, changes count as known 4 s later even where the new call was accepted and then lost.

--- a/internal/agent/actor.go
+++ b/internal/agent/actor.go
@@ -77,6 +77,7 @@
 	case listUpdate:
 		a.carryOutAll(a.router.ListUpdated(now, m.kind, m.list, m.watch))
 		a.recorder.listUpdated(now, m)
+		a.logPlannedCall(m)
 		a.hasEndpoint.Store(a.router.HasReadyEndpoint())
 	case protocol.Datagram:
 		a.carryOutAll(a.router.DatagramReceived(now, m))
--- a/internal/agent/list.go
+++ b/internal/agent/list.go
@@ -116,6 +116,7 @@
 		l.carryOut(l.tracker.CallIdle(m.call), noCallStarted)
 	case callKeptAlive:
 		l.log.received(m.call)
+		l.carryOut(l.tracker.CallKeptAlive(m.call), noCallStarted)
 	case callReceived:
 		l.log.received(m.call)
 		l.carryOut(l.tracker.CallReceived(m.call, m.list), noCallStarted)
@@ -175,6 +176,9 @@
 				kind: o.Update, list: o.List, discoveryList: o.DiscoveryList, watch: o.Watch,
 				confirmation: routing.Confirmation(o.Confirms),
 			})
+		case routing.ListOutdated:
+			slog.Info("older endpoint list at discovery's former address dropped", "version", o.Version,
+				"known", o.KnownVersion)
 		case routing.ListOutOfOrder:
 			slog.Warn("endpoint list update out of order, fetching the full list", "version", o.Version,
 				"known", o.KnownVersion)
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -1,18 +1,10 @@
 package balancer
 
-import (
-	"dunestep/internal/balancer/ring"
-	"dunestep/internal/discovery/backoff"
-)
+import "dunestep/internal/balancer/ring"
 
-const (
-	// forgetAfter is how long the state of a server that left is kept, so that its flap penalty is still known
-	// if it returns within that time.
-	forgetAfter = 2 * dampingDuration
-	// pollAgainDivisor divides the maximum poll interval to give the time without a response after which
-	// discovery is called again.
-	pollAgainDivisor = 4
-)
+// forgetAfter is how long the state of a server that left is kept, so that its flap penalty is still known if
+// it returns within that time.
+const forgetAfter = 2 * dampingDuration
 
 func (b *Balancer) onServerListUpdate(e *ServerListUpdate) {
 	b.trackDiscoveryCall(e)
@@ -48,50 +40,6 @@
 	}
 }
 
-// trackDiscoveryCall tracks the calls to discovery. The first update starts the rounds.
-func (b *Balancer) trackDiscoveryCall(e *ServerListUpdate) {
-	switch {
-	case !b.started:
-		b.started = true
-		b.setTimer(roundInterval, 0, timerRound)
-		b.pollDiscovery()
-	case e.Kind == UpdateFailed:
-		b.onWatchEnded(&e.Watch)
-	case !e.Watch.Local:
-		b.pollAgainAt = 0
-		if !e.Watch.Opened {
-			b.discovery.Answered(len(e.Servers) > 0)
-		}
-	}
-}
-
-// onWatchEnded schedules another call to discovery after a backoff, unless one has already been made or
-// scheduled.
-func (b *Balancer) onWatchEnded(w *WatchStatus) {
-	if w.End == backoff.WatchSilent {
-		b.discovery.RecordSilentWatch(b.now, w.SilentFor)
-	}
-	if w.Replaced {
-		return
-	}
-	b.pollAgainAt = 0
-	wait := b.discovery.CallEnded(b.now, w.End, b.rng.Float64())
-	if !b.pollScheduled {
-		b.pollScheduled = true
-		b.setTimer(wait, 0, timerPoll)
-	}
-}
-
-// pollDiscovery starts a call to discovery if discovery must be polled. Without a response another call
-// follows, well before the rules assume that this balancer knows the changes it did not receive.
-func (b *Balancer) pollDiscovery() {
-	if b.settings.DiscoveryOnDemand {
-		b.discovery.CallStarted(b.now)
-		b.pollAgainAt = b.now + max(b.settings.Rules.MaxPollInterval/pollAgainDivisor, roundInterval)
-		b.emit(Action{Kind: Subscribe})
-	}
-}
-
 // updateServer applies an entry of the server list, and reports whether the server's state changed. A new
 // server begins with the given flap penalty.
 func (b *Balancer) updateServer(e *Server, penalty float64) (s *server, changed bool) {
--- a/internal/balancer/endpoints_test.go
+++ b/internal/balancer/endpoints_test.go
@@ -129,14 +129,25 @@
 	set.DiscoveryOnDemand = true
 	b, _ := New(set, 1)
 	b.Step(0, &ServerListUpdate{Kind: UpdateCached})
-	for i, updated := range []bool{true, false} {
-		lost := time.Duration(i+1) * time.Minute
-		again := findAction(b.Step(lost, &ServerListUpdate{Kind: UpdateFailed, Watch: WatchStatus{End: backoff.WatchLost}}), SetTimer)
-		require.NotNil(t, again)
-		b.Step(lost+ms, &ServerListUpdate{Kind: UpdateIncremental, Watch: WatchStatus{Opened: true}})
-		b.Step(lost+2*ms, &ServerListUpdate{Kind: UpdateIncremental, Watch: WatchStatus{Local: !updated}})
-		polls := findAction(b.Step(lost+again.After, &TimerDue{Tag: again.Tag}), Subscribe) != nil
-		require.Equal(t, !updated, polls)
+	lost := &ServerListUpdate{Kind: UpdateFailed, Watch: WatchStatus{End: backoff.WatchLost}}
+	for i, c := range []struct {
+		name  string
+		watch WatchStatus // of the update between the end of the watch and the planned call
+		polls bool
+	}{
+		{"accepted", WatchStatus{Opened: true}, false},
+		{"list", WatchStatus{}, false},
+		{"operator", WatchStatus{Local: true}, true},
+		{"list on another call", WatchStatus{OtherCall: true}, true},
+		{"call at a new address", WatchStatus{AddressChanged: true}, false},
+	} {
+		lostAt := time.Duration(i+1) * time.Minute
+		again := findAction(b.Step(lostAt, lost), SetTimer)
+		require.NotNil(t, again, c.name)
+		b.Step(lostAt+ms, &ServerListUpdate{Kind: UpdateIncremental, Servers: serverList(1), Watch: c.watch})
+		polls := findAction(b.Step(lostAt+again.After, &TimerDue{Tag: again.Tag}), Subscribe) != nil
+		require.Equal(t, c.polls, polls, c.name)
+		b.Step(lostAt+again.After, &ServerListUpdate{Kind: UpdateIncremental})
 	}
 }
 
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -135,9 +135,13 @@
 type WatchStatus struct {
 	End       backoff.CallResult // with UpdateFailed: how the call ended
 	SilentFor time.Duration      // with backoff.WatchSilent: time since the watch last received anything
-	Replaced  bool               // with backoff.WatchSilent: another call has already been made
 	Local     bool               // update by the agent itself, such as an operator's, not by discovery
 	Opened    bool               // discovery has accepted the call but sent no list yet
+	// AddressChanged is true if a call to a new address of discovery was started, without a Subscribe action.
+	AddressChanged bool
+	// OtherCall is true if the update is of another call than the latest watch: of the watch at discovery's
+	// former address, or of a call for the complete list.
+	OtherCall bool
 }
 
 // ProbeDone reports the end of a probe.
--- a/internal/balancer/timers.go
+++ b/internal/balancer/timers.go
@@ -28,11 +28,7 @@
 	case purpose == timerRound && b.started:
 		b.endRound()
 	case purpose == timerPoll:
-		b.pollScheduled = false
-		// Otherwise another call has received updates meanwhile, as after a change of discovery's address.
-		if b.discovery.MayHaveMissedChanges() {
-			b.pollDiscovery()
-		}
+		b.onPollTimer()
 	case r == nil || r.closed:
 	case purpose == timerRetry && r.waiting && b.now >= max(r.waitUntil, r.notBefore):
 		r.waiting = false
@@ -57,7 +53,5 @@
 	b.reviewAssignment()
 	b.updateWeights()
 	b.logDistrust()
-	if b.pollAgainAt > 0 && b.now >= b.pollAgainAt {
-		b.pollDiscovery()
-	}
+	b.pollIfDue()
 }
--- a/internal/discovery/backoff/schedule.go
+++ b/internal/discovery/backoff/schedule.go
@@ -5,10 +5,28 @@
 	"time"
 )
 
+// phase is how far an agent is with its watch of the endpoint list. Each phase is left by an event that is
+// certain to come: the end of a call, which its caller reports, or a time at which IsDue becomes true.
+type phase uint8
+
+const (
+	notCalled phase = iota // before the first call
+	calling                // a call is under way; IsDue if it is not accepted by answerDue
+	watching               // discovery has accepted the call; its end is reported
+	waiting                // no call is under way; IsDue at nextCallAt
+)
+
 // Schedule is one agent's schedule of calls to discovery. It follows the results of the calls and determines
 // when the next one must be made. Use New: the zero value has no settings.
+//
+// It is the only owner of the answer to whether there is a watch and, if not, when the next call is made. It
+// follows one call, the latest that was started for the watch; what other calls receive does not change the
+// phase.
 type Schedule struct {
 	settings    Settings
+	phase       phase
+	answerDue   time.Duration // calling: when the call is repeated
+	nextCallAt  time.Duration // waiting: when the next call is made
 	failedCalls int           // since the last answer with entries
 	failedAt    time.Duration // end of the last failed call
 	hasMissed   bool          // changes may have been made that were not received
@@ -29,31 +47,60 @@
 
 // CallStarted records the start of a call to discovery. From now on changes count as missed, unless
 // they already do.
-func (s *Schedule) CallStarted(now time.Duration) { s.recordMissedSince(now) }
+func (s *Schedule) CallStarted(now time.Duration) {
+	s.phase, s.answerDue = calling, now+s.settings.answerTimeout()
+	s.recordMissedSince(now)
+}
 
-// Answered records that discovery has sent the endpoint list.
+// AddressChanged records the start of a call to a new address of discovery, which replaces the call before.
+// Changes that the agent has not received by then count as known movedKnownAfter later.
+func (s *Schedule) AddressChanged(now time.Duration) {
+	s.CallStarted(now)
+	s.recordMissedSince(now + movedKnownAfter - AssumedKnownAfter)
+}
+
+// Accepted records that discovery has accepted the call.
+func (s *Schedule) Accepted() { s.phase = watching }
+
+// Answered records that discovery has sent the endpoint list, or that there is nothing new, on the watch.
 func (s *Schedule) Answered(content ListContent) {
+	s.phase = watching
 	s.hasMissed = false
 	if content == HasEntries {
 		s.failedCalls = 0
 	}
 }
 
-// MayHaveMissedChanges reports whether changes may have been made that were not received, because no call has
-// been answered since.
-func (s *Schedule) MayHaveMissedChanges() bool { return s.hasMissed }
+// IsDue reports whether a call must be made now: one was planned for now, or is under way without an answer.
+func (s *Schedule) IsDue(now time.Duration) bool {
+	return s.phase == waiting && now >= s.nextCallAt || s.phase == calling && now >= s.answerDue
+}
+
+// NextCallAt returns when the next call is made; isPlanned is false if one is under way.
+func (s *Schedule) NextCallAt() (at time.Duration, isPlanned bool) {
+	return s.nextCallAt, s.phase == waiting
+}
 
 // IsStale reports whether recent changes may not have been received, because a call failed recently.
 func (s *Schedule) IsStale(now time.Duration) bool {
 	return s.failedCalls > 0 && now-s.failedAt < staleFor
 }
 
-// RecordSilentWatch records that a watch has received nothing for a time. It applies also if another call has
-// replaced the watch.
+// RecordSilentWatch records that a watch has received nothing for a time.
 func (s *Schedule) RecordSilentWatch(now, silentFor time.Duration) {
 	s.recordMissedSince(now - silentFor)
 }
 
+// OtherWatchEnded records the end of a watch that another call has replaced, and that had received nothing for
+// a time. If the other call has been answered, nothing was missed.
+func (s *Schedule) OtherWatchEnded(now, silentFor time.Duration) {
+	if s.phase == watching && !s.hasMissed {
+		return
+	}
+	s.recordMissedSince(now - silentFor)
+	s.hasten(now, CallFailed)
+}
+
 // recordMissedSince records that changes made since a time may have been missed. An earlier recorded time
 // stays until a call is answered.
 func (s *Schedule) recordMissedSince(since time.Duration) {
@@ -62,8 +109,8 @@
 	}
 }
 
-// CallEnded records the result of a call and returns the delay until the next one. The draw, a random number
-// from 0 to 1, spreads the calls of the agents.
+// CallEnded records the result of the call and returns the delay until the next one, which is planned unless
+// one is already. The draw, a random number from 0 to 1, spreads the calls of the agents.
 func (s *Schedule) CallEnded(now time.Duration, result CallResult, draw float64) time.Duration {
 	switch result {
 	case Unreadable:
@@ -76,7 +123,20 @@
 	delay := interpolate(s.meanDelay()/2, s.meanDelay()*3/2, draw)
 	s.failedCalls++
 	s.failedAt = now
-	return min(delay, s.maxDelay(now, result, draw))
+	if s.phase == waiting && now < s.nextCallAt {
+		s.hasten(now, result)
+		return s.nextCallAt - now
+	}
+	delay = min(delay, s.maxDelay(now, result, draw))
+	s.phase, s.nextCallAt = waiting, now+delay
+	return delay
+}
+
+// hasten makes a planned call at the latest when the rule for draining servers allows.
+func (s *Schedule) hasten(now time.Duration, result CallResult) {
+	if latest := s.maxDelay(now, result, 1); s.phase == waiting && s.nextCallAt-now > latest {
+		s.nextCallAt = now + latest
+	}
 }
 
 // meanDelay returns the mean delay that limits the load of an overloaded or failed discovery service.
--- a/internal/discovery/backoff/settings.go
+++ b/internal/discovery/backoff/settings.go
@@ -27,10 +27,14 @@
 	// discovery has the change and can be reached, or when the watch that missed the change fell silent.
 	AssumedKnownAfter = 6 * time.Second
 
-	staleFor        = 6 * time.Second        // time after a failed call in which recent changes may be missing
-	responseTime    = 500 * time.Millisecond // response time of a discovery service with capacity
-	callTimeout     = 2 * time.Second
-	movedKnownAfter = 4 * time.Second // like AssumedKnownAfter, after discovery moved to a new address
+	staleFor     = 6 * time.Second        // time after a failed call in which recent changes may be missing
+	responseTime = 500 * time.Millisecond // response time of a discovery service with capacity
+	callTimeout  = 2 * time.Second
+	// minAnswerTimeout is the shortest time after which a call without an answer is repeated.
+	minAnswerTimeout = time.Second
+	// pollsPerInterval is how often an unanswered call is repeated in Settings.MaxPollInterval.
+	pollsPerInterval = 4
+	movedKnownAfter  = 4 * time.Second // like AssumedKnownAfter, after discovery moved to a new address
 )
 
 // Settings are the settings of the deployment that determine the delays.
@@ -40,6 +44,11 @@
 	DrainGrace      time.Duration // time for which a server may get requests after its draining is known
 }
 
+// answerTimeout returns the time after which a call without an answer is repeated.
+func (s Settings) answerTimeout() time.Duration {
+	return max(s.MaxPollInterval/pollsPerInterval, minAnswerTimeout)
+}
+
 // assumedKnownAfter returns the time after which a change that was not received counts as known.
 func (s Settings) assumedKnownAfter() time.Duration {
 	if s.MaxPollInterval > 0 {
--- a/internal/rehearsal/world/agent.go
+++ b/internal/rehearsal/world/agent.go
@@ -280,6 +280,7 @@
 		l.w.scheduleAfter(callIdleWait, rankTimer, &message{kind: callIdle, proc: l, number: m.number})
 	case callIdle:
 		l.executeList(l.list.CallIdle(m.number))
+		l.executeList(l.list.CallKeptAlive(m.number))
 	case callReceived:
 		l.executeList(l.list.CallReceived(m.number, m.list))
 	case callEnded:
--- a/internal/routing/listcalls.go
+++ b/internal/routing/listcalls.go
@@ -9,28 +9,46 @@
 	"dunestep/internal/protocol"
 )
 
-// Watch starts a new watch from the known version, which replaces the current one. A watch at the former
-// address continues, since the decision module also retries when the new address can't be reached.
+// watchCall is a watch, from the start of its call to its end. The zero value means that there is none.
+type watchCall struct {
+	number   int  // of the call; zero: none
+	accepted bool // by discovery
+}
+
+// Watch starts a new watch from the known version, which replaces a current one that discovery has not
+// accepted. One that it has accepted stays, and is reported again. A watch at the former address continues,
+// since the decision module also retries when the new address can't be reached.
 func (l *ListTracker) Watch() []ListOutput {
 	l.out = l.out[:0]
-	if l.watchCall != 0 {
-		l.emit(ListOutput{Kind: EndCall, Call: l.watchCall})
+	if l.watch.accepted {
+		l.reportWatch(balancer.WatchStatus{Opened: true})
+		return l.out
 	}
+	l.end(l.watch)
 	l.startWatch()
 	return l.out
 }
 
-// SetAddress starts a watch at another address. The watch at the old address continues until the new one is
-// accepted, so that no change is missed between the two.
+// SetAddress starts a watch at another address. The latest accepted watch continues until the new one has
+// received something, so that no change is missed between the two.
 func (l *ListTracker) SetAddress(addr netip.AddrPort) []ListOutput {
 	l.out = l.out[:0]
-	if addr != l.addr {
-		l.addr = addr
-		l.endFormerWatch()
-		l.formerWatch = l.watchCall
-		l.startWatch()
-		l.addressChanged = true
+	if addr == l.addr {
+		return l.out
+	}
+	l.addr = addr
+	if l.outOfOrder { // it is being ended, and what it still receives does not count
+		l.watch = watchCall{}
+	}
+	if l.watch.accepted || !l.formerWatch.accepted {
+		l.end(l.formerWatch)
+		l.formerWatch = l.watch
+	} else {
+		l.end(l.watch)
 	}
+	l.startWatch()
+	l.addressChanged = true
+	l.reportWatch(balancer.WatchStatus{AddressChanged: true})
 	return l.out
 }
 
@@ -46,12 +64,12 @@
 // CallAccepted handles discovery's acceptance of a call.
 func (l *ListTracker) CallAccepted(call int) []ListOutput {
 	l.out = l.out[:0]
-	if call == l.watchCall { // reported even if no change was missed
-		l.accepted = true
-		l.endFormerWatch()
-		l.emit(ListOutput{
-			Kind: ListUpdate, Update: balancer.UpdateIncremental, Watch: balancer.WatchStatus{Opened: true},
-		})
+	switch call {
+	case l.watch.number: // reported even if no change was missed
+		l.watch.accepted = true
+		l.reportWatch(balancer.WatchStatus{Opened: true})
+	case l.formerWatch.number:
+		l.formerWatch.accepted = true
 	}
 	return l.out
 }
@@ -59,12 +77,28 @@
 // CallReceived handles a list or change that a call received.
 func (l *ListTracker) CallReceived(call int, list protocol.EndpointList) []ListOutput {
 	l.out = l.out[:0]
-	fetched := l.fetches[call]
+	isOlder := list.Version < l.version
 	switch {
-	case fetched && list.Version < l.version: // the watch has received a newer version since
-		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateIncremental})
-	case fetched || call == l.watchCall && !l.outOfOrder || call == l.formerWatch:
-		l.acceptList(list)
+	case call == l.watch.number && !l.outOfOrder:
+		l.endFormerWatch()
+		l.acceptList(list, balancer.WatchStatus{})
+	case l.fetches[call] && isOlder: // the watch has received a newer version since
+	case call == l.formerWatch.number && isOlder:
+		l.emit(ListOutput{Kind: ListOutdated, Version: list.Version, KnownVersion: l.version})
+	case l.fetches[call] || call == l.formerWatch.number:
+		l.acceptList(list, balancer.WatchStatus{OtherCall: true})
+	}
+	return l.out
+}
+
+// CallKeptAlive handles an empty line between two lists or changes: the watch has received all changes until
+// now.
+func (l *ListTracker) CallKeptAlive(call int) []ListOutput {
+	l.out = l.out[:0]
+	if call == l.watch.number && !l.outOfOrder && !l.hasReceived {
+		l.hasReceived = true
+		l.endFormerWatch()
+		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateIncremental, Confirms: true})
 	}
 	return l.out
 }
@@ -73,8 +107,11 @@
 // arrived: the known list is then up to date.
 func (l *ListTracker) CallIdle(call int) []ListOutput {
 	l.out = l.out[:0]
-	if call == l.watchCall && l.accepted && !l.outOfOrder {
-		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateIncremental, Confirms: true})
+	if call == l.watch.number && l.watch.accepted && !l.outOfOrder {
+		l.emit(ListOutput{
+			Kind: ListUpdate, Update: balancer.UpdateIncremental, Watch: balancer.WatchStatus{Opened: true},
+			Confirms: true,
+		})
 	}
 	return l.out
 }
@@ -82,37 +119,27 @@
 // CallEnded handles the end of a call. err is nil only for a fetch that received the complete list.
 func (l *ListTracker) CallEnded(call int, err error) []ListOutput {
 	l.out = l.out[:0]
-	fetched := l.fetches[call]
 	delete(l.fetches, call)
-	switch {
-	case call == l.formerWatch:
-		l.formerWatchEnded(err)
-	case call == l.watchCall || fetched && err != nil:
-		status := watchEnd(err, call == l.watchCall && l.accepted)
+	switch call {
+	case l.formerWatch.number:
+		status := watchEnd(err, l.formerWatch.accepted)
+		status.OtherCall = true
+		l.formerWatch = watchCall{}
+		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateFailed, Watch: status})
+	case l.watch.number:
+		status := watchEnd(err, l.watch.accepted)
 		switch {
-		case call == l.watchCall && l.outOfOrder:
+		case l.outOfOrder:
 			status.End = backoff.Unreadable
-		case call == l.watchCall && l.addressChanged && status.End == backoff.CallFailed:
+		case l.addressChanged && status.End == backoff.CallFailed:
 			status.End = backoff.AddressMoved
 		}
-		if call == l.watchCall { // its silence no longer confirms the list
-			l.accepted = false
-		}
+		l.watch = watchCall{}
 		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateFailed, Watch: status})
 	}
 	return l.out
 }
 
-// formerWatchEnded handles the end of the watch at the former address, while the current watch is not yet
-// accepted.
-func (l *ListTracker) formerWatchEnded(err error) {
-	l.formerWatch = 0
-	if status := watchEnd(err, true); status.End == backoff.WatchSilent && l.watchCall != 0 {
-		status.Replaced = true
-		l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateFailed, Watch: status})
-	}
-}
-
 // watchEnd returns how a call ended, for the decision module.
 func watchEnd(err error, accepted bool) balancer.WatchStatus {
 	var silence *SilenceError
@@ -131,16 +158,27 @@
 // startWatch starts a watch from the known version.
 func (l *ListTracker) startWatch() {
 	l.calls++
-	l.watchCall, l.accepted, l.outOfOrder, l.addressChanged = l.calls, false, false, false
+	l.watch = watchCall{number: l.calls}
+	l.outOfOrder, l.addressChanged, l.hasReceived = false, false, false
 	l.emit(ListOutput{
-		Kind: StartCall, Call: l.watchCall, Addr: l.addr,
+		Kind: StartCall, Call: l.calls, Addr: l.addr,
 		Request: protocol.ListRequest{Watch: true, FromVersion: l.version},
 	})
 }
 
-func (l *ListTracker) endFormerWatch() {
-	if l.formerWatch != 0 {
-		l.emit(ListOutput{Kind: EndCall, Call: l.formerWatch})
+// reportWatch reports a change of the current watch to the decision module.
+func (l *ListTracker) reportWatch(status balancer.WatchStatus) {
+	l.emit(ListOutput{Kind: ListUpdate, Update: balancer.UpdateIncremental, Watch: status})
+}
+
+// end ends a watch, if there is one. Its end is reported later.
+func (l *ListTracker) end(watch watchCall) {
+	if watch.number != 0 {
+		l.emit(ListOutput{Kind: EndCall, Call: watch.number})
 	}
-	l.formerWatch = 0
+}
+
+func (l *ListTracker) endFormerWatch() {
+	l.end(l.formerWatch)
+	l.formerWatch = watchCall{}
 }
--- a/internal/routing/listmodel_test.go
+++ b/internal/routing/listmodel_test.go
@@ -20,6 +20,7 @@
 const (
 	modelResponseTimeout = 2 * time.Second
 	modelSilenceTimeout  = 3 * time.Second
+	modelEmptyLines      = 2 * time.Second
 	modelIdleAfter       = 200 * time.Millisecond
 	// modelKnownAfter is when a change that was not received counts as known.
 	modelKnownAfter = 6 * time.Second
@@ -173,6 +174,18 @@
 	m.after(modelIdleAfter, func() {
 		m.toTracker(call, func() []ListOutput { return m.tracker.CallIdle(call.output.Call) })
 	})
+	m.keepAlive(call)
+}
+
+// keepAlive sends empty lines until the call is silent or over.
+func (m *listModel) keepAlive(call *modelCall) {
+	m.after(modelEmptyLines, func() {
+		if call.ended || call.isSilent {
+			return
+		}
+		m.toTracker(call, func() []ListOutput { return m.tracker.CallKeptAlive(call.output.Call) })
+		m.keepAlive(call)
+	})
 }
 
 // send sends the whole list on an accepted call.
@@ -298,7 +311,7 @@
 	}
 	m.run(m.now + modelKnownAfter + testSettings().Rules.DrainGrace)
 	require.Equal(t, want, m.tracker.version, "%v", m.trace)
-	require.True(t, m.tracker.accepted, "%v", m.trace)
+	require.True(t, m.tracker.watch.accepted, "%v", m.trace)
 	calls := len(m.calls)
 	m.run(m.now + time.Minute)
 	require.Len(t, m.calls, calls, "calls beside a watch: %v", m.trace)
--- a/internal/routing/listtracker.go
+++ b/internal/routing/listtracker.go
@@ -22,6 +22,9 @@
 	ListUpdate
 	// ListOutOfOrder requests a log line about an update that is out of order: Version, KnownVersion.
 	ListOutOfOrder
+	// ListOutdated requests a log line about an older list at discovery's former address, which is dropped:
+	// Version, KnownVersion.
+	ListOutdated
 )
 
 // ListOutput is one output of a ListTracker, for the caller to carry out. Which fields are set depends on
@@ -41,26 +44,25 @@
 }
 
 // ListTracker tracks the endpoint list's version, the calls to discovery and the endpoints that an operator
-// has disabled, and reports balancer.UpdateFailed as soon as a call ends. The decision module decides when
-// to call again. Inputs return the outputs in order, valid until the next input. Events of a call that has
-// been replaced are ignored.
+// has disabled, and reports balancer.UpdateFailed as soon as a watch ends. The decision module decides when
+// to call again, from what is reported of the current watch: its start at a new address, its acceptance and its
+// end, each once. Inputs return the outputs in order, valid until the next input. Events of a call that has been
+// replaced are ignored.
 type ListTracker struct {
 	addr           netip.AddrPort
 	version        int64
-	calls          int  // started so far
-	watchCall      int  // number of the current watch; zero: none yet
-	accepted       bool // discovery has accepted the current watch, which has not ended
-	addressChanged bool // the current watch is the first call to a new address
-	// formerWatch is the number of the watch at the former address, until the current one is accepted;
-	// zero: none.
-	formerWatch int
-	outOfOrder  bool                         // the current watch was out of order and is ignored
-	fetches     map[int]bool                 // fetches under way, by number
-	entries     map[string]protocol.Endpoint // as discovery sent them
-	knownIDs    map[string]bool              // ids that are or were listed or disabled; see rememberID
-	knownOrder  []string                     // keys of knownIDs, the oldest first
-	disabled    map[string]DisabledEndpoint
-	out         []ListOutput
+	calls          int                          // started so far
+	watch          watchCall                    // the current one, at addr
+	formerWatch    watchCall                    // at a former address, until the current one has received something
+	addressChanged bool                         // the current watch is the first call to a new address
+	hasReceived    bool                         // the current watch has received an empty line
+	outOfOrder     bool                         // the current watch was out of order and is ignored
+	fetches        map[int]bool                 // fetches under way, by number
+	entries        map[string]protocol.Endpoint // as discovery sent them
+	knownIDs       map[string]bool              // ids that are or were listed or disabled; see rememberID
+	knownOrder     []string                     // keys of knownIDs, the oldest first
+	disabled       map[string]DisabledEndpoint
+	out            []ListOutput
 }
 
 // NewListTracker returns a ListTracker with discovery's address, a known list, and the endpoints that are
@@ -111,14 +113,11 @@
 // acceptList applies and emits a list or change that a call received. A change older than the known
 // version is out of order and would undo later ones: the current watch is ended and the next one
 // requests the complete list.
-func (l *ListTracker) acceptList(list protocol.EndpointList) {
+func (l *ListTracker) acceptList(list protocol.EndpointList, status balancer.WatchStatus) {
 	if !list.Full && list.Version < l.version {
 		l.emit(ListOutput{Kind: ListOutOfOrder, Version: list.Version, KnownVersion: l.version})
 		l.version, l.outOfOrder = 0, true
-		l.endFormerWatch()
-		if l.watchCall != 0 {
-			l.emit(ListOutput{Kind: EndCall, Call: l.watchCall}) // its end is reported later
-		}
+		l.end(l.watch)
 		return
 	}
 	l.version = list.Version
@@ -128,7 +127,8 @@
 	}
 	l.recordList(kind, list)
 	l.emit(ListOutput{
-		Kind: ListUpdate, Update: kind, List: l.overlayDisabled(list), DiscoveryList: list, Confirms: true,
+		Kind: ListUpdate, Update: kind, List: l.overlayDisabled(list), DiscoveryList: list, Watch: status,
+		Confirms: true,
 	})
 }
 
