Discovery: an object that comes byte by byte ends the watch after 3.5 s

Callers' requests would go to a draining server for as long as discovery takes for the object that says so: each byte restarted the timeout of 0.75 s, and there was no limit for the whole. An object has 3.5 s in all now, and its silence counts from its first byte, since its changes were made before.

--- a/cmd/dunestep/list_test.go
+++ b/cmd/dunestep/list_test.go
@@ -232,6 +232,35 @@
 	}
 }
 
+// Discovery reports a drain byte by byte, and would answer another call at once: the drain is applied in time.
+func TestDrainMissedInTrickledObject(t *testing.T) {
+	t.Parallel()
+	w := newSerialTestbed(t, 3).start()
+	w.waitUntil("watch", func() bool { return w.discovery.watchCount() == 1 })
+	drains := w.startDrainCheck()
+	drains.expectDrained(w.servers[0], missedKnownAfter)
+	line := listJSON(42, false, w.servers[0].listEntry("leaving")) + "\n"
+	w.discovery.setInitialText(line)
+	w.discovery.stopKeepalives() // an empty line within a string would end the watch
+	done := make(chan struct{})
+	var trickle sync.WaitGroup
+	trickle.Go(func() {
+		for _, piece := range strings.Split(line, "") {
+			if w.discovery.sendText(piece); w.discovery.watchCount() == 0 {
+				return
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	})
+	drains.check()
+	close(done)
+	trickle.Wait()
+}
+
 // A watch on which only empty lines arrive stays open: each new call costs discovery work.
 func TestWatchWithoutUpdatesStaysOpen(t *testing.T) {
 	w := start(t, 1)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -36,7 +36,7 @@
 	departed         map[*server]struct{} // servers that are gone and not forgotten yet
 	maxMemberPoints  int                  // largest number of points of a member; at least one
 	discovery        backoff.Schedule     // schedule of the calls to discovery
-	pollTimerAt      time.Duration        // when the timer for the next call to discovery is due; zero: none is set
+	pollTimerAt      time.Duration        // when the timer for the next call is due; zero: none is set
 
 	// Requests and retries.
 	requests               map[uint32]*request
--- a/internal/balancer/discoverycalls.go
+++ b/internal/balancer/discoverycalls.go
@@ -6,8 +6,8 @@
 	"dunestep/internal/discovery/backoff"
 )
 
-// trackDiscoveryCall tracks the calls to discovery. The first update starts the rounds. What a call other than
-// the latest watch receives is applied, but does not answer the latest one.
+// trackDiscoveryCall tracks the calls to discovery. The first update starts the rounds. What a call other
+// than the latest watch receives is applied, but does not answer the latest one.
 func (b *Balancer) trackDiscoveryCall(e *ServerListUpdate) {
 	switch w := &e.Watch; {
 	case !b.started:
@@ -69,8 +69,8 @@
 	}
 }
 
-// NextDiscoveryCall returns the time until the next call to discovery; isPlanned is false if a call or watch is
-// under way.
+// NextDiscoveryCall returns the time until the next call to discovery; isPlanned is false if a call or watch
+// is under way.
 func (b *Balancer) NextDiscoveryCall() (in time.Duration, isPlanned bool) {
 	at, isPlanned := b.discovery.NextCallAt()
 	return at - b.now, isPlanned
--- a/internal/discovery/backoff/doc.go
+++ b/internal/discovery/backoff/doc.go
@@ -7,8 +7,8 @@
 // requests only for a grace period. A Schedule therefore keeps the time since which changes may have been
 // missed, and makes the next call early enough that another one still fits in before the grace period ends.
 //
-// The Schedule also knows whether there is a watch. Without one, a call is under way or planned: no event leads
-// to a state that only another event from outside could end.
+// The Schedule also knows whether there is a watch. Without one, a call is under way or planned: no event
+// leads to a state that only another event from outside could end.
 //
 // The package does no I/O and has no clock: the caller passes the current time and random draws. The same
 // calls give the same results. A Schedule is not safe for concurrent use.
--- a/internal/discovery/backoff/schedule.go
+++ b/internal/discovery/backoff/schedule.go
@@ -91,8 +91,8 @@
 	s.recordMissedSince(now - silentFor)
 }
 
-// OtherWatchEnded records the end of a watch that another call has replaced, and that had received nothing for
-// a time. If the other call has been answered, nothing was missed.
+// OtherWatchEnded records the end of a watch that another call has replaced, and that had received nothing
+// for a time. If the other call has been answered, nothing was missed.
 func (s *Schedule) OtherWatchEnded(now, silentFor time.Duration) {
 	if s.phase == watching && !s.hasMissed {
 		return
--- a/internal/routing/listtracker.go
+++ b/internal/routing/listtracker.go
@@ -45,15 +45,15 @@
 
 // ListTracker tracks the endpoint list's version, the calls to discovery and the endpoints that an operator
 // has disabled, and reports balancer.UpdateFailed as soon as a watch ends. The decision module decides when
-// to call again, from what is reported of the current watch: its start at a new address, its acceptance and its
-// end, each once. Inputs return the outputs in order, valid until the next input. Events of a call that has been
-// replaced are ignored.
+// to call again, from what is reported of the current watch: its start at a new address, its acceptance and
+// its end, each once. Inputs return the outputs in order, valid until the next input. Events of a call that
+// has been replaced are ignored.
 type ListTracker struct {
 	addr           netip.AddrPort
 	version        int64
 	calls          int                          // started so far
 	watch          watchCall                    // the current one, at addr
-	formerWatch    watchCall                    // at a former address, until the current one has received something
+	formerWatch    watchCall                    // at a former address, until the current one has received
 	addressChanged bool                         // the current watch is the first call to a new address
 	hasReceived    bool                         // the current watch has received an empty line
 	outOfOrder     bool                         // the current watch was out of order and is ignored
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -26,7 +26,10 @@
 	watchSilenceTimeout = 3 * time.Second
 	// objectStallTimeout is how long a partly received object may make no progress.
 	objectStallTimeout = 750 * time.Millisecond
-	maxObjectBytes     = 4 << 20
+	// objectTimeout is how long an object may take in all. Two more calls fit in before its changes count as
+	// known and draining servers may get no more requests.
+	objectTimeout  = 3500 * time.Millisecond
+	maxObjectBytes = 4 << 20
 )
 
 // errListTooLong means that an object of discovery has more than maxObjectBytes. On-call staff know its text.
@@ -57,8 +60,8 @@
 	defer context.AfterFunc(ctx, closeConn)()
 	silence := newSilenceTimer(responseTimeout-time.Since(startedAt), unreadInputOf(conn), closeConn)
 	err = exchangeList(conn, addr, call, silence, handlers)
-	if expired := silence.stop(); expired > 0 {
-		return &routing.SilenceError{Duration: expired}
+	if silentFor := silence.stop(); silentFor > 0 {
+		return &routing.SilenceError{Duration: silentFor}
 	}
 	return err
 }
@@ -88,10 +91,11 @@
 		return err
 	}
 	defer func() { _ = body.Close() }() // everything needed was read
-	silence.reset(watchSilenceTimeout)
+	silence.reset(watchSilenceTimeout, 0)
 	handlers.Accepted()
 	if call.Watch {
-		return readObjects(&watchBody{Reader: body, silence: silence, onKeptAlive: handlers.KeptAlive}, handlers.Object)
+		watch := &watchBody{Reader: body, silence: silence, onKeptAlive: handlers.KeptAlive}
+		return readObjects(watch, handlers.Object)
 	}
 	list, err := io.ReadAll(io.LimitReader(body, maxObjectBytes))
 	if err == nil {
@@ -116,7 +120,7 @@
 		}
 		in.silence.handle(func() {
 			onObject(raw)
-			in.objectEnd = objects.InputOffset()
+			in.objectEnd, in.objectStartedAt = objects.InputOffset(), time.Time{}
 			in.resetSilence()
 		})
 	}
@@ -132,6 +136,8 @@
 	returned  int64
 	nonBlank  int64 // bytes up to the last one that is not white space
 	objectEnd int64 // bytes up to the end of the latest object
+	// objectStartedAt is when the first bytes of the incomplete object were read; zero: there is none.
+	objectStartedAt time.Time
 }
 
 // Read skips empty lines between objects.
@@ -160,16 +166,22 @@
 	}
 }
 
-// resetSilence restarts the timeout for the next bytes.
+// resetSilence restarts the timeout for the next bytes, or for what is left of the object's time.
 func (w *watchBody) resetSilence() {
-	if w.nonBlank > w.objectEnd {
-		w.silence.reset(objectStallTimeout)
+	if w.nonBlank <= w.objectEnd {
+		w.silence.reset(watchSilenceTimeout, 0)
+		return
+	}
+	elapsed := time.Duration(0)
+	if w.objectStartedAt.IsZero() {
+		w.objectStartedAt = time.Now()
 	} else {
-		w.silence.reset(watchSilenceTimeout)
+		elapsed = time.Since(w.objectStartedAt)
 	}
+	w.silence.reset(min(objectStallTimeout, objectTimeout-elapsed), elapsed)
 }
 
-// silenceTimer ends a call on which nothing is received for a timeout, and records that timeout. Only
+// silenceTimer ends a call on which nothing complete is received for a time, and records that time. Only
 // discovery's silence counts: while this process handles what it has received, or has not yet read what
 // there is, the call goes on.
 type silenceTimer struct {
@@ -178,7 +190,7 @@
 
 	mu         sync.Mutex
 	timer      *time.Timer
-	timeout    time.Duration
+	silentFor  time.Duration // when the timer expires
 	expiresAt  time.Time
 	isHandling bool
 	isExpired  bool
@@ -191,15 +203,15 @@
 func newSilenceTimer(timeout time.Duration, hasInput func() bool, onExpired func()) *silenceTimer {
 	s := &silenceTimer{hasInput: hasInput, onExpired: onExpired}
 	s.timer = time.AfterFunc(time.Hour, s.expire) // reset below, once timer is set
-	s.reset(timeout)
+	s.reset(timeout, 0)
 	return s
 }
 
-// reset restarts the timer with a timeout.
-func (s *silenceTimer) reset(timeout time.Duration) {
+// reset restarts the timer with a timeout. Nothing complete has been received for silentFor.
+func (s *silenceTimer) reset(timeout, silentFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.timeout, s.expiresAt = timeout, time.Now().Add(timeout)
+	s.silentFor, s.expiresAt = silentFor+timeout, time.Now().Add(timeout)
 	s.timer.Reset(timeout)
 }
 
@@ -219,13 +231,13 @@
 	s.onExpired()
 }
 
-// stop ends the timer. It returns the timeout that has expired; zero if none has.
-func (s *silenceTimer) stop() (expired time.Duration) {
+// stop ends the timer. It returns for how long nothing complete was received if it has expired, else zero.
+func (s *silenceTimer) stop() (silentFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer.Stop()
 	if s.isExpired {
-		return s.timeout
+		return s.silentFor
 	}
 	return 0
 }
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -55,6 +55,43 @@
 	require.Less(t, time.Since(startedAt), watchSilenceTimeout-500*time.Millisecond)
 }
 
+// An object that comes byte by byte must not hold a watch for longer than its changes may stay unknown. The silence counts
+// from its first byte: its changes were made before.
+func TestTrickledObjectEndsWatch(t *testing.T) {
+	t.Parallel()
+	const interval = 300 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, acceptErr := l.Accept()
+		if acceptErr != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, writeErr := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\"version\":43}\n{\"version\":")
+		for writeErr == nil {
+			time.Sleep(interval)
+			_, writeErr = io.WriteString(c, "1")
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), missedKnownAfter+time.Second)
+	defer cancel()
+	var objects []string
+	startedAt := time.Now()
+	err = CallDiscovery(ctx, netip.MustParseAddrPort(l.Addr().String()), protocol.ListRequest{Watch: true}, CallHandlers{
+		Accepted: func() {}, KeptAlive: func() {}, Object: func(raw []byte) { objects = append(objects, string(raw)) },
+	})
+	var silence *routing.SilenceError
+	require.ErrorAs(t, err, &silence)
+	require.Equal(t, []string{`{"version":43}`}, objects)
+	require.Less(t, time.Since(startedAt), missedKnownAfter)
+	require.InDelta(t, time.Since(startedAt), silence.Duration, float64(interval))
+}
+
+// missedKnownAfter is when a change that was not received counts as known.
+const missedKnownAfter = 6 * time.Second
+
 // An endless object must not be read into memory.
 func TestEndlessObjectIsAnError(t *testing.T) {
 	endless := io.MultiReader(strings.NewReader("{"), endlessBlanks{})
