SIGHUP: a configuration that the system can't read at the moment is read again

A SIGHUP that came while the system had no descriptor or memory for the file, or its disk failed, was lost for good: the agent stayed at discovery's former address, which may have ended, until another SIGHUP.

--- a/cmd/dunestep/diskfaults_linux_amd64_test.go
+++ b/cmd/dunestep/diskfaults_linux_amd64_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
@@ -30,12 +31,17 @@
 	case unix.SYS_OPENAT:
 		return args[2]&unix.O_CREAT != 0
 	case unix.SYS_WRITE:
-		target, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", w.process.Process.Pid, args[0]))
-		return err == nil && strings.HasPrefix(target, "/")
+		return w.isFile(args[0])
 	}
 	return true
 }
 
+// isFile reports whether a descriptor of the program is a file's.
+func (w *testbed) isFile(descriptor uint64) bool {
+	target, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", w.process.Process.Pid, descriptor))
+	return err == nil && strings.HasPrefix(target, "/")
+}
+
 // The disk fails for a while. The agent serves, and what an operator has set and what it has learned are written once the
 // disk is in order, without another call.
 func TestDiskFailsForAWhile(t *testing.T) {
@@ -85,3 +91,39 @@
 	t.Cleanup(func() { _ = os.RemoveAll(dir) })
 	return dir
 }
+
+// The system fails for a moment to open or to read the configuration after SIGHUP. It is applied once the system is in
+// order, without another signal: changes at the new address of discovery count as known 4 s after the first.
+func TestConfigurationNotReadableForAMoment(t *testing.T) {
+	const broken, knownAfter = time.Second, 4 * time.Second
+	for _, c := range []struct {
+		call  uint32
+		errno syscall.Errno
+	}{
+		{unix.SYS_OPENAT, unix.EMFILE},
+		{unix.SYS_OPENAT, unix.ENFILE},
+		{unix.SYS_OPENAT, unix.ENOMEM},
+		{unix.SYS_OPENAT, unix.EIO},
+		{unix.SYS_READ, unix.EIO},
+	} {
+		t.Run(fmt.Sprint(c.call, c.errno), func(t *testing.T) {
+			w := newTestbed(t, 1)
+			useSyscallFaults(w, unix.SYS_OPENAT, unix.SYS_READ)
+			w.start()
+			w.waitUntil("watch", func() bool { return w.discovery.watchCount() == 1 })
+			next := newDiscovery(t)
+			until := time.Now().Add(broken)
+			w.syscallFaults.Set(func(call uint32, args [6]uint64) syscall.Errno {
+				if call != c.call || time.Now().After(until) || call == unix.SYS_READ && !w.isFile(args[0]) {
+					return 0
+				}
+				return c.errno
+			})
+			signaledAt := time.Now()
+			w.moveDiscovery(next)
+			w.waitUntil("a read failed", func() bool { return w.syscallFaults.Failed() > 0 })
+			w.waitUntil("a watch at the new address", func() bool { return next.watchCount() == 1 })
+			require.Less(t, time.Since(signaledAt), knownAfter)
+		})
+	}
+}
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -17,7 +17,7 @@
 )
 
 // process is the running agent with its parts. Its fields are set by start and not changed afterwards, except
-// for upgrade and the fields that upgrade's mutex guards.
+// for upgrade, the fields that upgrade's mutex guards, and isReloading, which only the main goroutine uses.
 type process struct {
 	settings    settings // Limits and operator: guarded by upgrade.mu
 	metrics     *metrics.Counters
@@ -33,6 +33,7 @@
 	ops         *transport.OpsServer // nil: there is no operators' socket
 	upgrade     upgrade
 	serveErrors chan error // the errors that ended the serving of a socket
+	isReloading bool       // the files could not be read after SIGHUP, and are read again
 }
 
 // start starts all parts, each after those that it needs.
