--- a/cmd/dunestep/discoverymoves_test.go
+++ b/cmd/dunestep/discoverymoves_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -12,6 +13,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+// discoverySeedsEnv names the seeds of a long run of courses, as "first last". Such a run also sends requests, and requires
+// that a drain at the last address is applied in time.
+const discoverySeedsEnv = "DUNESTEP_DISCOVERY_SEEDS"
+
 // missedKnownAfter is when a change that was not received counts as known, from when discovery has it and can be reached.
 const missedKnownAfter = 6 * time.Second
 
@@ -77,15 +82,21 @@
 // Whatever happened at the addresses of discovery before, the last one is watched in time once its calls are answered.
 func TestLastAddressOfDiscoveryIsWatchedAfterAnyCourse(t *testing.T) {
 	t.Parallel()
-	const courses, concurrent = 48, 12
+	const concurrent = 12
+	seeds := [2]uint64{0, 47}
+	text, isLong := os.LookupEnv(discoverySeedsEnv)
+	if isLong {
+		_, err := fmt.Sscan(text, &seeds[0], &seeds[1])
+		require.NoError(t, err)
+	}
 	slots := make(chan struct{}, concurrent)
 	var runs sync.WaitGroup
 	var failures sync.Map
-	for seed := range uint64(courses) {
+	for seed := seeds[0]; seed <= seeds[1]; seed++ {
 		slots <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-slots }()
-			if err := playDiscoveryCourse(t, seed); err != nil {
+			if err := playDiscoveryCourse(t, seed, isLong); err != nil {
 				failures.Store(seed, err)
 			}
 		})
@@ -97,7 +108,8 @@
 	})
 }
 
-func playDiscoveryCourse(t *testing.T, seed uint64) error {
+//nolint:revive // flag-parameter: what a long run requires beside
+func playDiscoveryCourse(t *testing.T, seed uint64, checksDrain bool) error {
 	c := &discoveryCourse{testbed: newSerialTestbed(t, 3), random: rand.New(rand.NewPCG(seed, 3)), version: 42}
 	usePlainBinary(c.testbed)
 	c.start()
@@ -114,6 +126,10 @@
 		}
 	}
 	time.Sleep(300 * time.Millisecond)
+	if checksDrain {
+		c.disturb()
+		return c.checkDrain(last)
+	}
 	last.answerNext() // from now on it answers each call
 	healthySince := time.Now()
 	c.disturb()
@@ -132,6 +148,44 @@
 	return nil
 }
 
+// checkDrain makes an address of discovery answer each call, and requires that a drain that it has then is applied in time,
+// though the watches at the other addresses end without it.
+func (c *discoveryCourse) checkDrain(last *discovery) error {
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				c.send("consult")
+			}
+		}
+	})
+	drained := c.servers[0]
+	line := listJSON(c.version+1, true, c.listEntries(drained)...)
+	last.answerNext()
+	last.setInitialText(line + "\n")
+	last.sendLine(line)
+	deadline := time.Now().Add(missedKnownAfter + c.drainGraceWithSlack())
+	for _, d := range c.addresses {
+		if d != last {
+			d.setResponse(http.StatusServiceUnavailable, false)
+			d.endWatches()
+		}
+	}
+	time.Sleep(time.Until(deadline.Add(500 * time.Millisecond)))
+	close(stop)
+	clients.Wait()
+	for _, a := range drained.attempts() {
+		if a.receivedAt.After(deadline) {
+			return fmt.Errorf("a request %v after the deadline of the drain\n%s", a.receivedAt.Sub(deadline), c.log)
+		}
+	}
+	return nil
+}
+
 // pause waits for up to 150 ms: a call that failed is repeated after 100 to 300 ms at first.
 func (c *discoveryCourse) pause() {
 	time.Sleep(time.Duration(c.random.IntN(150)) * time.Millisecond)
--- a/cmd/dunestep/soak_test.go
+++ b/cmd/dunestep/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -34,11 +35,14 @@
 	deadline time.Duration // the longest; SIGKILL comes killGrace after it
 	isCrowd  bool          // idle clients fill the descriptors
 	hanging  atomic.Int32  // so many of the servers, the first ones, do not answer
+	// addresses of discovery; the configuration names one after the other.
+	addresses []*discovery
 }
 
 // In any of these runs the endpoints are released and some hang, the agent is held up, reloads, and is told to end by
 // several signals while its clients send on all open connections, until it is killed at the earliest time. Each request
 // that it has read gets its final answer in time, or crosses a close and is not forwarded; the next process serves at once.
+// Discovery moves meanwhile, and its first calls fail; before and after the kill its last address is watched in time.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	seeds := shortSoak
@@ -84,6 +88,7 @@
 	if r.isCrowd {
 		r.config["limits"].(object)["sockets"] = 160
 	}
+	r.addresses = []*discovery{r.discovery, newDiscovery(t), newDiscovery(t)}
 	r.answer()
 	r.start()
 	callers := r.startSeededCallers(20+random.IntN(30), r.think, r.deadline, seed)
@@ -94,9 +99,12 @@
 		r.crowd(200)
 	}
 	r.interrupt(1500 * time.Millisecond)
-	err := r.terminate(callers)
+	err := r.checkWatched()
+	err = errors.Join(err, r.terminate(callers))
 	callers.mayDial.Store(true)
+	r.move()
 	time.Sleep(time.Second)
+	err = errors.Join(err, r.checkWatched())
 	callers.stop()
 	close(released)
 	trouble.Wait()
@@ -140,7 +148,7 @@
 func (r *soakRun) interrupt(duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		time.Sleep(time.Duration(r.random.IntN(200)) * time.Millisecond)
-		switch r.random.IntN(3) {
+		switch r.random.IntN(4) {
 		case 0:
 			r.holdUp()
 		case 1:
@@ -148,10 +156,41 @@
 		case 2:
 			r.writeConfig()
 			r.signalInSeries(syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP)
+		case 3:
+			r.move()
 		}
 	}
 }
 
+// move has the agent watch another address of discovery, whose first calls may fail, and ends the watches at another.
+func (r *soakRun) move() {
+	next := r.addresses[r.random.IntN(len(r.addresses))]
+	refusal := callAnswer{status: http.StatusServiceUnavailable}
+	next.answerNext([]callAnswer{refusal, refusal}[:r.random.IntN(3)]...)
+	r.moveDiscovery(next)
+	if r.random.IntN(2) == 0 {
+		time.Sleep(time.Duration(r.random.IntN(100)) * time.Millisecond)
+		r.addresses[r.random.IntN(len(r.addresses))].endWatches()
+	}
+}
+
+// checkWatched returns an error if the address of discovery that the agent read last is not watched in time.
+func (r *soakRun) checkWatched() error {
+	began := time.Now()
+	for _, d := range r.addresses {
+		if d.addr != r.config["discovery"] {
+			continue
+		}
+		for d.watchCount() == 0 {
+			if waited := time.Since(began); waited > missedKnownAfter+r.drainGraceWithSlack() {
+				return fmt.Errorf("%s is not watched for %v, calls there: %v\n%s", d.addr, waited, d.callTargets(), r.log)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
 // holdUp keeps the agent from being scheduled for a moment.
 func (r *soakRun) holdUp() {
 	_ = r.process.Process.Signal(syscall.SIGSTOP)
--- a/cmd/dunestep/timeliness_test.go
+++ b/cmd/dunestep/timeliness_test.go
@@ -419,6 +419,15 @@
 	})
 }
 
+// The same with still less processor time, a fiftieth of a core.
+func TestReleaseOfManyEndpointsAtAFiftiethOfACore(t *testing.T) {
+	t.Parallel()
+	retryIfStarved(t, func() (timeliness, error) {
+		seen := releaseAtSlowAgent(t, 1.0/50, manyEndpoints)
+		return seen, seen.check()
+	})
+}
+
 // A process that was stopped for longer than discovery may be silent finds in its socket what came meanwhile, and goes on
 // with its watch.
 func TestWatchGoesOnInAStoppedProcess(t *testing.T) {
