Discovery: an unreadable object ends the watch at once

After an object that can't be read the watch ended only when discovery fell silent or closed, up to 3 s later, and counted as silent: no change came meanwhile, and draining servers got requests for as much longer. Cause: CallDiscovery closed the response's body, and net/http reads the rest of a chunked body when it is closed; the silence timer then cut that off, and its error replaced the real one. The body is no longer closed, the connection is.

--- a/internal/protocol/endpointlist.go
+++ b/internal/protocol/endpointlist.go
@@ -120,8 +120,9 @@
 	return append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
 }
 
-// ReadListHeader reads the header of discovery's response and returns its body, which has the objects.
-func ReadListHeader(r *bufio.Reader) (io.ReadCloser, error) {
+// ReadListHeader reads the header of discovery's response and returns its body, which has the objects. The
+// body is not to be closed: that would read the rest of it, which may never come.
+func ReadListHeader(r *bufio.Reader) (io.Reader, error) {
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return nil, err
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -90,7 +90,6 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = body.Close() }() // everything needed was read
 	silence.reset(watchSilenceTimeout, 0)
 	handlers.Accepted()
 	if call.Watch {
--- a/internal/transport/discovery_test.go
+++ b/internal/transport/discovery_test.go
@@ -89,6 +89,29 @@
 	require.InDelta(t, time.Since(startedAt), silence.Duration, float64(interval))
 }
 
+// An object that can't be read ends the watch at once, and is reported as such, though discovery keeps the connection open.
+func TestUnreadableObjectEndsWatchAtOnce(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, acceptErr := l.Accept()
+		if acceptErr != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\"version\":43]\n\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}()
+	startedAt := time.Now()
+	err = CallDiscovery(context.Background(), netip.MustParseAddrPort(l.Addr().String()), protocol.ListRequest{Watch: true},
+		CallHandlers{Accepted: func() {}, KeptAlive: func() {}, Object: func([]byte) {}})
+	var unreadable *routing.UnreadableError
+	require.ErrorAs(t, err, &unreadable)
+	require.Less(t, time.Since(startedAt), objectStallTimeout)
+}
+
 // missedKnownAfter is when a change that was not received counts as known.
 const missedKnownAfter = 6 * time.Second
 
