Hand-over: a socket that can't be bound for a moment is bound again

After a new process had gone, an agent that could not bind its hand-over socket just then (folder, descriptors, disk) never did again: at the next upgrade the new process would not reach it, and connections that wait to be accepted would be reset when the old one ends. It is bound again each second until it can be.

TestSocketThatCannotBeBoundForAMoment failed (not reachable for 5 s) and passes in 1.1 s.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -67,6 +67,43 @@
 	require.Len(t, got.Disabled, 2*each)
 }
 
+// After a new process has gone, the folder of the socket fails for a moment. The next new process reaches the running one
+// all the same.
+func TestSocketThatCannotBeBoundForAMoment(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "f")
+	away := folder + "-away"
+	require.NoError(t, os.Mkdir(folder, 0o700))
+	listener, err := Listen(folder, "n0", listenAddr)
+	require.NoError(t, err)
+	served, failed := make(chan struct{}), make(chan error, 100)
+	handled := 0
+	go func() {
+		defer close(served)
+		listener.Serve(func(err error) { failed <- err }, func(p *Peer) bool {
+			_ = p.SendOffer(Offer{Descriptors: 9, MemoryMB: 8}, nil)
+			p.Receive(func(Notification) {})
+			if handled++; handled > 1 {
+				return false
+			}
+			_ = os.Rename(folder, away)
+			return true
+		})
+	}()
+	first, _, _, err := Connect(folder, "n0", listenAddr)
+	require.NoError(t, err)
+	first.Close()
+	require.Error(t, <-failed)
+	require.NoError(t, os.Rename(away, folder))
+	require.NoError(t, os.Remove(listener.path)) // that of the process that has gone
+	var second *Peer
+	require.Eventually(t, func() bool {
+		second, _, _, err = Connect(folder, "n0", listenAddr)
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	second.Close()
+	<-served
+}
+
 // A notification sent before the offer arrives after it.
 func TestNotificationsWaitForTheOffer(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -13,6 +13,9 @@
 // acceptRetryWait is the wait before accepting again after an error.
 const acceptRetryWait = 50 * time.Millisecond
 
+// bindRetryWait is the wait before the path is bound again after an error.
+const bindRetryWait = time.Second
+
 // Listener accepts connections of new processes to the running one.
 type Listener struct {
 	listener    *net.UnixListener
@@ -54,8 +57,8 @@
 // Serve accepts new processes one at a time and calls handle with each. handle must return when the other
 // process has disconnected, and report whether this process continues to run. If it does, Serve binds the
 // agent's path again, which the other process may have taken over. Serve returns if it does not, or if the
-// path can't be bound. A connection without a valid hello is closed, and rejected is called with the
-// reason. It is also called if the path can't be bound.
+// listener is closed. A connection without a valid hello is closed, and rejected is called with the reason.
+// It is also called if the path can't be bound; that is tried again until it can.
 func (l *Listener) Serve(rejected func(error), handle func(*Peer) (continues bool)) {
 	for {
 		conn, err := l.listener.AcceptUnix()
@@ -79,10 +82,22 @@
 			_ = l.listener.Close() // the process is about to end
 			return
 		}
-		if err := l.bind(); err != nil {
-			rejected(err)
+		l.bindAgain(rejected)
+	}
+}
+
+// bindAgain binds the agent's path until that succeeds: the system or the folder may fail for a while. It
+// calls rejected after the first error.
+func (l *Listener) bindAgain(rejected func(error)) {
+	for hasFailed := false; ; hasFailed = true {
+		err := l.bind()
+		if err == nil {
 			return
 		}
+		if !hasFailed {
+			rejected(err)
+		}
+		time.Sleep(bindRetryWait)
 	}
 }
 
