Hand-over: a socket that can't be opened at the start is opened later

An agent that could not open its hand-over socket at its start (folder missing, descriptors, disk) was out of reach of upgrades for good: what waited in its accept queue would have been reset at the next one. It is tried again each second; the line in the log says 'yet' now.

TestHandoverFolderThatIsMissingAtTheStart failed (no socket 15 s after the folder had come) and passes, with a try in between that fails.

--- a/cmd/dunestep/diskfaults_linux_amd64_test.go
+++ b/cmd/dunestep/diskfaults_linux_amd64_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -127,3 +128,17 @@
 		})
 	}
 }
+
+// The folder of the hand-over socket is missing at the start, and comes later: then a process can take over.
+func TestHandoverFolderThatIsMissingAtTheStart(t *testing.T) {
+	w := newTestbed(t, 1)
+	w.tempDir = filepath.Join(shortTempDir(t), "f")
+	w.start()
+	require.Contains(t, w.log.String(), "handover socket cannot be opened")
+	time.Sleep(listenRetryInterval + 300*time.Millisecond) // it is still missing when it is tried again
+	require.NoError(t, os.Mkdir(w.tempDir, 0o700))
+	w.waitUntil("socket", func() bool {
+		sockets, err := filepath.Glob(filepath.Join(w.tempDir, "*.sock"))
+		return err == nil && len(sockets) == 1
+	})
+}
--- a/cmd/dunestep/handover.go
+++ b/cmd/dunestep/handover.go
@@ -22,6 +22,8 @@
 	spareDescriptors = 8
 	// snapshotTimeout bounds the wait for the learned state.
 	snapshotTimeout = 500 * time.Millisecond
+	// listenRetryInterval is how often a socket that could not be opened is tried again.
+	listenRetryInterval = time.Second
 )
 
 // upgrade is the state of the replacement of one process of the agent by the next. This process may be the
@@ -49,24 +51,28 @@
 func (p *process) listenForHandover() *handover.Listener {
 	l, err := handover.Listen(os.TempDir(), p.settings.Name, p.settings.Listen)
 	if err != nil {
-		slog.Warn("handover socket cannot be opened: no process can take over from this one", "error", err)
+		slog.Warn("handover socket cannot be opened: no process can take over from this one yet", "error", err)
 		return nil
 	}
 	return l
 }
 
 // serveHandover starts to hand over to processes that connect, until this one ends. The previous process, if
-// any, is notified as soon as this one accepts clients.
+// any, is notified as soon as this one accepts clients. A nil listener is opened as soon as that is possible.
 func (p *process) serveHandover(l *handover.Listener) {
 	if previous := p.upgrade.previous; previous != nil { // only these goroutines change it
 		go p.notifyReady(previous)
 		go p.followPrevious(previous)
 	}
-	if l != nil {
-		go l.Serve(func(err error) {
+	go func() {
+		for l == nil {
+			time.Sleep(listenRetryInterval)
+			l, _ = handover.Listen(os.TempDir(), p.settings.Name, p.settings.Listen) // the first error was logged
+		}
+		l.Serve(func(err error) {
 			slog.Warn("connection to the handover socket rejected", "error", err)
 		}, p.handOver)
-	}
+	}()
 }
 
 // handOver hands over to a process that takes over from this one. Once that process has exited, it returns
--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -30,7 +30,10 @@
 		return nil, err
 	}
 	l := &Listener{path: path, agent: agent}
-	return l, l.bind()
+	if err := l.bind(); err != nil {
+		return nil, err
+	}
+	return l, nil
 }
 
 // bind listens at a path that is unique to this process and renames it to the agent's path, so that the
