Discovery's calls: a timer that is due a part of a microsecond early counts

The simulator's clock has whole microseconds, so that the timer of a planned call may be due up to one early. Since the schedule alone says when a call is due, no call was made then, and a timer for the rest, rounded to zero, was set again for the same moment without end.

--- a/internal/agent/recorder.go
+++ b/internal/agent/recorder.go
@@ -41,16 +41,6 @@
 	}
 }
 
-// logPlannedCall logs when discovery is called again after a call has ended.
-func (a *Agent) logPlannedCall(u listUpdate) {
-	if u.kind != balancer.UpdateFailed {
-		return
-	}
-	if in, isPlanned := a.balancer.NextDiscoveryCall(); isPlanned {
-		slog.Info("discovery call planned", "in", in)
-	}
-}
-
 // stateChanged calls onChange after a significant change of the state.
 func (r *stateRecorder) stateChanged() {
 	if r.onChange != nil {
--- a/internal/agent/watchlog.go
+++ b/internal/agent/watchlog.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"dunestep/internal/balancer"
 	"dunestep/internal/metrics"
 	"dunestep/internal/routing"
 )
@@ -137,3 +138,13 @@
 	}
 	l.metrics.SetDiscovery(m)
 }
+
+// logPlannedCall logs when discovery is called again after a call has ended.
+func (a *Agent) logPlannedCall(u listUpdate) {
+	if u.kind != balancer.UpdateFailed {
+		return
+	}
+	if in, isPlanned := a.balancer.NextDiscoveryCall(); isPlanned {
+		slog.Info("discovery call planned", "in", in)
+	}
+}
--- a/internal/balancer/endpoints_test.go
+++ b/internal/balancer/endpoints_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// The simulator's clock has whole microseconds, so that a timer may be due a part of one early. The call is made all the
+// same, and not planned again for the same moment without end.
+func TestPollTimerInWholeMicroseconds(t *testing.T) {
+	set := testSettings()
+	set.DiscoveryOnDemand = true
+	for seed := range uint64(20) {
+		b, _ := New(set, seed)
+		b.Step(0, &ServerListUpdate{Kind: UpdateCached})
+		timer := findAction(b.Step(ms, &ServerListUpdate{Kind: UpdateFailed}), SetTimer)
+		require.NotNil(t, timer)
+		due := ms + timer.After.Truncate(time.Microsecond)
+		require.NotNil(t, findAction(b.Step(due, &TimerDue{Tag: timer.Tag}), Subscribe), "seed %d: %v", seed, timer.After)
+	}
+}
+
 // Guards against a scheduled call replacing a working watch. Another call may have been accepted meanwhile, as at a new
 // address after SIGHUP, and the scheduled one may be refused.
 func TestNoPollAfterAnotherCallSucceeded(t *testing.T) {
--- a/internal/discovery/backoff/schedule.go
+++ b/internal/discovery/backoff/schedule.go
@@ -73,7 +73,7 @@
 
 // IsDue reports whether a call must be made now: one was planned for now, or is under way without an answer.
 func (s *Schedule) IsDue(now time.Duration) bool {
-	return s.phase == waiting && now >= s.nextCallAt || s.phase == calling && now >= s.answerDue
+	return s.phase == waiting && now > s.nextCallAt-timerPrecision || s.phase == calling && now >= s.answerDue
 }
 
 // NextCallAt returns when the next call is made; isPlanned is false if one is under way.
--- a/internal/discovery/backoff/settings.go
+++ b/internal/discovery/backoff/settings.go
@@ -30,6 +30,8 @@
 	staleFor     = 6 * time.Second        // time after a failed call in which recent changes may be missing
 	responseTime = 500 * time.Millisecond // response time of a discovery service with capacity
 	callTimeout  = 2 * time.Second
+	// timerPrecision is by how much a timer may be due early: the simulator's have whole microseconds.
+	timerPrecision = time.Microsecond
 	// minAnswerTimeout is the shortest time after which a call without an answer is repeated.
 	minAnswerTimeout = time.Second
 	// pollsPerInterval is how often an unanswered call is repeated in Settings.MaxPollInterval.
