--- a/review/standins/dedup.go
+++ b/review/standins/dedup.go
@@ -20,8 +20,8 @@
 	dedupRounds = 6
 )
 
-// playDedup has some connections to booking servers come up 1 s late while a request is repeated whose class is safe
-// to repeat within a window only.
+// playDedup has some connections to booking servers come up 1 s late while a request is repeated whose class
+// is safe to repeat within a window only.
 func playDedup(trouble bool) int {
 	set := settings()
 	set["bounds"].(map[string]any)["connectTimeout"] = 1500000
@@ -98,6 +98,8 @@
 	if twice > 0 {
 		code = exitBroken
 	}
-	return w.finish(code, "%d of %d bookings ran a second time later than %d ms after the first (window %d ms); %d connections",
+	return w.finish(code,
+		"%d of %d bookings ran a second time later than %d ms after the first (window %d ms); "+
+			"%d connections",
 		twice, dedupRounds, (dedupWindow + windowSlack).Milliseconds(), dedupWindow.Milliseconds(), connections)
 }
--- a/review/standins/discovery.go
+++ b/review/standins/discovery.go
@@ -27,7 +27,7 @@
 	Servers []entry `json:"servers"`
 }
 
-// discovery is a sound discovery: it answers at once, sends the whole list first on each watch, then each change,
+// discovery is sound: it answers at once, sends the whole list first on each watch, then each change,
 // and an empty line every 2 s while nothing changes.
 type discovery struct {
 	addr    string
@@ -35,14 +35,12 @@
 	version int64
 	entries []entry
 	watches map[chan list]bool
-	delay   time.Duration
-	cut     chan struct{}
 }
 
 func startDiscovery(entries []entry) *discovery {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	d := &discovery{addr: l.Addr().String(), version: 41, entries: entries, watches: map[chan list]bool{}, cut: make(chan struct{})}
+	d := &discovery{addr: l.Addr().String(), version: 41, entries: entries, watches: map[chan list]bool{}}
 	server := http.Server{Handler: http.HandlerFunc(d.serve)}
 	go func() { _ = server.Serve(l) }()
 	return d
@@ -55,10 +53,6 @@
 	}
 	changes := make(chan list, 100)
 	d.mu.Lock()
-	delay, cut := d.delay, d.cut
-	d.mu.Unlock()
-	time.Sleep(delay)
-	d.mu.Lock()
 	whole := list{Version: d.version, Full: true, Servers: append([]entry(nil), d.entries...)}
 	if r.URL.Query().Get("watch") == "1" {
 		d.watches[changes] = true
@@ -87,31 +81,6 @@
 			_, _ = fmt.Fprint(w, "\n")
 		case <-r.Context().Done():
 			return
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		}
 	}
 }
-
-// setDelay has each further call answered after a delay; cutWatches ends the open watches with a reset.
-func (d *discovery) setDelay(delay time.Duration, cutWatches bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.delay = delay
-	if cutWatches {
-		close(d.cut)
-		d.cut = make(chan struct{})
-	}
-}
-
-// change changes a booking server's state and tells all watches.
-func (d *discovery) change(index int, state string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.version++
-	e := &d.entries[index]
-	e.State = state
-	for w := range d.watches {
-		w <- list{Version: d.version, Servers: []entry{*e}}
-	}
-}
--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -88,8 +88,9 @@
 		"%d requests of these clients were answered", late, orders, goneGrace.Milliseconds(), answered)
 }
 
-// orderAndLeave sends many requests at once on one connection, each second one a booking, and closes it at once, or
-// once all are answered. It returns their ids, when it closed the connection, and how many answers it has read.
+// orderAndLeave sends many requests at once on one connection, each second one a booking, and closes it
+// at once, or when all are answered. It returns their ids, when it closed the connection, and how many answers
+// it has read.
 func (w *world) orderAndLeave(client int, leaves bool) (ids []string, closedAt time.Time, answered int) {
 	c, err := net.Dial("tcp", w.agent.addr)
 	must(err)
@@ -109,7 +110,8 @@
 	}
 	_, err = io.WriteString(c, text)
 	must(err)
-	w.note("client %d sends %d requests at once, %s to %s, %d bytes", client, len(ids), ids[0], ids[len(ids)-1], len(text))
+	w.note("client %d sends %d requests at once, %s to %s, %d bytes", client, len(ids), ids[0], ids[len(ids)-1],
+		len(text))
 	if leaves {
 		time.Sleep(leaveAfter)
 	} else {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -41,8 +41,8 @@
 }
 
 // serveBooking is a sound booking server: it begins a request when its last byte has come, works, and answers
-// with 200 and a body that names the request. It answers 404 to a request with no id and 400 to one whose id has
-// another form. It ends with the process that started it, whose commands it reads.
+// with 200 and a body that names the request. It answers 404 to a request with no id and 400 to one whose id
+// has another form. It ends with the process that started it, whose commands it reads.
 func serveBooking(o serverOptions) {
 	var mu sync.Mutex
 	out := json.NewEncoder(os.Stdout)
@@ -117,8 +117,8 @@
 // answerBody is the body of the one right answer to a request.
 func answerBody(id string) string { return "done " + id + "\n" }
 
-// gatedListener can be shut for a while: its queue is full then, so that connections that are begun come up late,
-// with the second packet that asks for them, 1 s after the first.
+// gatedListener can be shut for a while: its queue is full then, so that connections that are begun come up
+// late, with the second packet that asks for them, 1 s after the first.
 type gatedListener struct {
 	*net.TCPListener
 	addr   string
--- a/review/standins/upload.go
+++ b/review/standins/upload.go
@@ -122,12 +122,14 @@
 	if lost > 0 {
 		code = exitBroken
 	}
-	return w.finish(code, "%d of %d requests that the agent's machine had whole had no final answer %d ms after their time",
+	return w.finish(code,
+		"%d of %d requests that the agent's machine had whole had no final answer %d ms after "+
+			"their time",
 		lost, judged, answerGrace.Milliseconds())
 }
 
-// upload sends a booking with a long body. It reports whether the agent's machine has acknowledged its last byte, and
-// whether its final answer then came too late, or never.
+// upload sends a booking with a long body. It reports whether the agent's machine has acknowledged its last
+// byte, and whether its final answer then came too late, or never.
 func (w *world) upload(key string, size int) (isTaken, isLost bool) {
 	r := request{
 		id: w.nextID(), method: http.MethodPost, path: "/rezervare/scan", key: key, left: uploadLeft,
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -24,8 +24,8 @@
 	lastID uint64
 }
 
-// newWorld starts a deployment, and has all that is sent, answered and run written to record.txt in the current
-// folder. onEvent is called with each event of a server, in order; nil: not called.
+// newWorld starts a deployment, and has all that is sent, answered and run written to record.txt in the
+// current folder. onEvent is called with each event of a server, in order; nil: not called.
 func newWorld(count int, options serverOptions, set map[string]any, onEvent func(serverEvent)) *world {
 	record, err := os.Create("record.txt")
 	must(err)
@@ -112,19 +112,23 @@
 	if r.framing != "" {
 		framing = r.framing + "\r\n"
 	}
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %s\r\nX-Account: zambet-plus\r\n"+
-		"Cookie: sid=%s\r\nX-Time-Left-Ms: %d\r\n%s\r\n", r.method, r.path, r.id, r.key, r.left.Milliseconds(), framing)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %s\r\n"+
+		"X-Account: zambet-plus\r\nCookie: sid=%s\r\nX-Time-Left-Ms: %d\r\n%s\r\n", r.method, r.path, r.id, r.key,
+		r.left.Milliseconds(), framing)
 }
 
-// consult and rezervare are ordinary requests, on a connection of their own; they return the answer's status, zero for
-// none.
+// consult and rezervare are ordinary requests, on a connection of their own; they return the answer's status,
+// zero for none.
 func (w *world) consult(key string) int {
-	return w.ask(request{method: http.MethodGet, path: "/consult/slots", key: key, left: 2500 * time.Millisecond}, "")
+	return w.ask(request{
+		method: http.MethodGet, path: "/consult/slots", key: key, left: 2500 * time.Millisecond,
+	}, "")
 }
 
 func (w *world) rezervare(key string) int {
 	return w.ask(request{
-		method: http.MethodPost, path: "/rezervare/chair", key: key, left: time.Second, framing: "Content-Length: 7",
+		method: http.MethodPost, path: "/rezervare/chair", key: key, left: time.Second,
+		framing: "Content-Length: 7",
 	}, "chair=4")
 }
 
