--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -89,8 +89,7 @@
 }
 
 // orderAndLeave sends many requests at once on one connection, each second one a booking, and closes it
-// at once, or when all are answered. It returns their ids, when it closed the connection, and how many answers
-// it has read.
+// at once, or when all are answered. It returns their ids, when it closed it, and how many answers it read.
 func (w *world) orderAndLeave(client int, leaves bool) (ids []string, closedAt time.Time, answered int) {
 	c, err := net.Dial("tcp", w.agent.addr)
 	must(err)
--- a/review/standins/upload.go
+++ b/review/standins/upload.go
@@ -106,9 +106,10 @@
 	}
 	for i := range uploadsEach { // to the servers that hang, and as many to others
 		for j, server := range hung {
-			send(keys[server.name][i], 4_200_000+i*100_000)
+			size := 4_200_000 + (hungServers*i+j)*50_000
+			send(keys[server.name][i], size)
 			if other := keys[well[j].name]; i < len(other) {
-				send(other[i], 4_200_000+i*100_000)
+				send(other[i], size)
 			}
 		}
 	}
