--- a/review/standins/dedup.go
+++ b/review/standins/dedup.go
@@ -25,8 +25,8 @@
 func playDedup(trouble bool) int {
 	set := settings()
 	set["bounds"].(map[string]any)["connectTimeout"] = 1500000
-	class := set["categories"].([]map[string]any)[1]
-	class["effect"], class["memorySpan"] = "dedup", dedupWindow.Microseconds()
+	class := classNamed(set, "rezervare")
+	class["effect"], class["keyScope"], class["memorySpan"] = "dedup", "all", dedupWindow.Microseconds()
 	class["aim"], class["deadline"] = dedupDeadline.Microseconds(), dedupDeadline.Microseconds()
 
 	var w *world
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -47,7 +47,7 @@
 		})
 		w.servers = append(w.servers, b)
 		entries = append(entries, entry{
-			ID: options.Name, Addr: b.addr, Zone: "a", Kind: "rapid", Cell: i, State: "active", Weight: 1,
+			ID: options.Name, Addr: b.addr, Zone: "a", Kind: "toy", Cell: i, State: "active", Weight: 1,
 		})
 	}
 	w.discovery = startDiscovery(entries)
@@ -113,7 +113,7 @@
 		framing = r.framing + "\r\n"
 	}
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: %s\r\n"+
-		"X-Account: zambet-plus\r\nCookie: sid=%s\r\nX-Time-Left-Ms: %d\r\n%s\r\n", r.method, r.path, r.id, r.key,
+		"X-Account: acme\r\nCookie: sid=%s\r\nX-Time-Left-Ms: %d\r\n%s\r\n", r.method, r.path, r.id, r.key,
 		r.left.Milliseconds(), framing)
 }
 
