Review: each case's script reads TROUBLE itself

Cause: run.sh left TROUBLE to the stand-ins' program, so that nothing in a case's folder showed it. No check is changed.

--- a/review/play.sh
+++ b/review/play.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# play.sh NAME FOLDER plays a case: it ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't
-# run. FOLDER/record.txt has what was sent, answered and run. TROUBLE=0 plays it without the disruption.
+# play.sh NAME FOLDER TROUBLE plays a case: it ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't
+# run. FOLDER/record.txt has what was sent, answered and run. With TROUBLE 0 it plays it without the disruption.
 set -u
 name=$1 folder=$2
+export TROUBLE=$3
 cd "$(dirname "$0")/.." || exit 2
 ROOT=$PWD
 RUN=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
