The time of a long body counts from its arrival, not from its reading

Cause: the client's time started when the reader of the body had read its last byte. The reader waits for room without a limit while the server takes nothing, so that the last bytes lie unread in the agent's receive buffer and nothing looks at them. The attempt's timeout and the request's own hung on that report.

With a known length the unread bytes tell that the body has arrived, and the time of the latest data tells when. A chunked body, and one whose rest may lie at the client's machine, is presumed to have arrived at the last progress, shortly before the client's time would be over. A body that arrived before its attempt starts gives the attempt no more time than the client has left, nor does it announce more to the server.

Why it works: the start of the time no longer depends on progress at the server; every state in which nothing is read is left by a timer.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -152,11 +152,15 @@
 }
 
 // announcedTimeout returns the attempt's remaining time, which is sent to the endpoint with the request.
-func (d *attemptDeadlines) announcedTimeout() time.Duration {
-	if d.timeoutAfterBody > 0 {
+func (a *attempt) announcedTimeout() time.Duration {
+	d := a.deadlines.Load()
+	switch {
+	case d.timeoutAfterBody == 0:
+		return time.Until(d.giveUpAt)
+	case a.request.ClientWaited == nil:
 		return d.timeoutAfterBody
 	}
-	return time.Until(d.giveUpAt)
+	return max(min(d.timeoutAfterBody, a.request.TimeLeft-a.request.ClientWaited()), 0)
 }
 
 // latencyStart returns the start of the endpoint's time: for a streamed request body, when its
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -109,7 +109,7 @@
 		e.result.Phase = phaseOf(e.err)
 		return
 	}
-	r, timeout := a.request.Request, a.deadlines.Load().announcedTimeout()
+	r, timeout := a.request.Request, a.announcedTimeout()
 	e.response, e.reusable, e.err = e.conn.RoundTrip(a.ctx, transport.UpstreamRequest{
 		Head: protocol.AppendUpstreamRequest(nil, r, timeout),
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -76,6 +76,7 @@
 		r.Release()
 		return protocol.Response{}, false
 	}
+	useKnownArrival(r)
 	tracked := &request{Request: r, response: make(chan protocol.Response, 1)}
 	a.mail.put(tracked)
 	complete := r.BodyComplete
@@ -103,6 +104,16 @@
 	}
 }
 
+// useKnownArrival sets when a request arrived whose body is streamed, if the body has arrived already: its
+// attempts must not be given more time than its client has left.
+func useKnownArrival(r *protocol.Request) {
+	select {
+	case r.ArrivedAt = <-r.BodyComplete:
+		r.BodyComplete = nil
+	default:
+	}
+}
+
 // timeUntilOver returns the time that the request's client still waits. That of a request whose body is not
 // complete begins later.
 func timeUntilOver(r *protocol.Request) time.Duration {
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -43,10 +43,13 @@
 	Body            []byte // only the first part of a body that is longer than MaxBufferedBody
 	// Length is zero if Body is complete, else the length of the whole body in bytes; negative if unknown.
 	Length int64
-	// Rest streams what follows Body; nil if Body is complete. BodyComplete then receives the time at which the
-	// last byte arrived, once that was read.
+	// Rest streams what follows Body; nil if Body is complete. BodyComplete then receives once when the last
+	// byte arrived at this machine, read or not, or is presumed to have arrived; nil: ArrivedAt is that time.
 	Rest         *bodystream.Stream
 	BodyComplete <-chan time.Time
+	// ClientWaited returns, before BodyComplete is received, for how long the client may have waited since its
+	// last byte all the same; nil: not at all.
+	ClientWaited func() time.Duration
 
 	// IsGraphQL causes a 4xx response to be forwarded if its media type is one of GraphQL.
 	IsGraphQL bool
--- /dev/null
+++ b/internal/routing/bodyarrival.go
@@ -0,0 +1,50 @@
+package routing
+
+import "time"
+
+// BodyArrival is what has arrived of a request's body at this machine while this agent does not read it: an
+// upstream server takes nothing of it, or no memory is free.
+type BodyArrival struct {
+	State        BodyArrivalState
+	SinceArrival time.Duration // since the latest byte arrived
+	UnreadFor    time.Duration // since this agent stopped reading
+	HasUnread    bool          // the system has bytes that this agent has not read
+}
+
+// BodyArrivalState tells whether the last byte of a request's body has arrived.
+type BodyArrivalState uint8
+
+// The states.
+const (
+	// BodyUnknown: the length is not known, and what has arrived may end with the last byte.
+	BodyUnknown BodyArrivalState = iota
+	BodyIncomplete
+	BodyArrived
+)
+
+// unreadMargin is how long before its end a body's presumed time is reported, so that attempts can be ended
+// and the client answered in time.
+const unreadMargin = 40 * time.Millisecond
+
+// minUnreadTime is the minimum time without progress after which a body that may be complete is treated as
+// complete. It is within the half second in which a late response is still accepted.
+const minUnreadTime = 200 * time.Millisecond
+
+// StartOfTime returns for how long the client may have waited since the last byte of its request, and whether
+// that counts as the start of its time. timeLeft is how long it waits from then on.
+//
+// That byte may have arrived unread where the length is not known. Of an incomplete body, the client's own
+// machine may hold the rest, since this one takes in only so much that is not read. In both cases the time
+// counts from the last progress, once it would be almost over.
+func (a BodyArrival) StartOfTime(timeLeft time.Duration) (waited time.Duration, hasBegun bool) {
+	withoutProgress := a.SinceArrival
+	switch {
+	case a.State == BodyArrived:
+		return a.SinceArrival, true
+	case a.State == BodyIncomplete && !a.HasUnread: // the client sends slowly
+		return 0, false
+	case a.State == BodyIncomplete:
+		withoutProgress = min(a.SinceArrival, a.UnreadFor)
+	}
+	return withoutProgress, withoutProgress >= max(timeLeft-unreadMargin, minUnreadTime)
+}
--- /dev/null
+++ b/internal/routing/bodyarrival_test.go
@@ -0,0 +1,36 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The client's time begins with the arrival of the last byte, read or not; where its arrival can't be known, after the time
+// without progress that the client would wait. A client that sends slowly does not start its time.
+func TestStartOfTimeOfUnreadBody(t *testing.T) {
+	const left = time.Second
+	for name, test := range map[string]struct {
+		arrival  BodyArrival
+		timeLeft time.Duration
+		hasBegun bool
+	}{
+		"complete":                            {BodyArrival{State: BodyArrived}, left, true},
+		"client sends slowly":                 {BodyArrival{State: BodyIncomplete, SinceArrival: time.Hour, UnreadFor: time.Hour}, left, false},
+		"rest may be at the client's machine": {BodyArrival{State: BodyIncomplete, SinceArrival: left, UnreadFor: left, HasUnread: true}, left, true},
+		"server still takes a little":         {BodyArrival{State: BodyIncomplete, SinceArrival: time.Hour, UnreadFor: left / 2, HasUnread: true}, left, false},
+		"client still sends":                  {BodyArrival{State: BodyIncomplete, SinceArrival: left / 2, UnreadFor: time.Hour, HasUnread: true}, left, false},
+		"unknown length, still arriving":      {BodyArrival{SinceArrival: left / 2, UnreadFor: time.Hour, HasUnread: true}, left, false},
+		"unknown length, server takes little": {BodyArrival{SinceArrival: left, UnreadFor: left / 10, HasUnread: true}, left, true},
+		"unknown length, all but buffered":    {BodyArrival{SinceArrival: left}, left, true},
+		"very little time":                    {BodyArrival{SinceArrival: 100 * time.Millisecond, HasUnread: true}, time.Millisecond, false},
+		"very little time, over":              {BodyArrival{SinceArrival: 200 * time.Millisecond, HasUnread: true}, time.Millisecond, true},
+	} {
+		ago, hasBegun := test.arrival.StartOfTime(test.timeLeft)
+		require.Equal(t, test.hasBegun, hasBegun, name)
+		if hasBegun {
+			require.LessOrEqual(t, ago, test.arrival.SinceArrival, name)
+		}
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -125,7 +125,7 @@
 	r.out = r.out[:0]
 	req := r.register(in)
 	req.deadline = sent + in.TimeLeft - ResponseMargin
-	if in.Rest != nil { // the timeout counts from the body's last byte
+	if in.BodyComplete != nil { // the timeout counts from the body's last byte
 		req.clientTimeLeft, req.deadline = in.TimeLeft, now+MaxBodyTime
 	}
 	class, known := r.classes[in.Class]
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -205,7 +205,7 @@
 	arrive := func(id string) (uint32, Output) {
 		in := &protocol.Request{
 			CorrelationID: id, Class: notIdempotent, Length: -1, TimeLeft: 900 * time.Millisecond,
-			Rest: bodystream.New(-1, bytebudget.Grant{}, 0),
+			Rest: bodystream.New(-1, bytebudget.Grant{}, 0), BodyComplete: make(chan time.Time),
 		}
 		n, out := d.router.RequestArrived(d.now, in, d.now)
 		starts := kinds(out, StartAttempt)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -44,6 +44,7 @@
 	conns       map[*Conn]struct{}
 	closed      bool
 	readPause   time.Duration // before each read; zero: none
+	readsAgain  chan struct{} // closed when the server reads again; nil: it reads
 	wait        sync.WaitGroup
 }
 
@@ -75,6 +76,20 @@
 	s.readPause = pause
 }
 
+// SetReading sets whether the server reads what its agents send. While it does not, as if its process hung,
+// its system takes in what fits into its buffers.
+func (s *Server) SetReading(reads bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case reads && s.readsAgain != nil:
+		close(s.readsAgain)
+		s.readsAgain = nil
+	case !reads && s.readsAgain == nil:
+		s.readsAgain = make(chan struct{})
+	}
+}
+
 // acceptBacklog is the listen backlog of a server that accepts.
 const acceptBacklog = 1024
 
@@ -273,6 +288,7 @@
 // Close closes the server and its connections, and waits for their goroutines.
 func (s *Server) Close() {
 	s.RefuseConnections()
+	s.SetReading(true)
 	s.mu.Lock()
 	s.closed = true
 	for _, c := range s.fillers {
@@ -320,11 +336,14 @@
 
 const maxRequestBytes = 64 << 20
 
-// Read reads from the connection, slowly after SetReadPause.
+// Read reads from the connection, slowly after SetReadPause and not before SetReading permits it.
 func (c *Conn) Read(b []byte) (int, error) {
 	c.server.mu.Lock()
-	pause := c.server.readPause
+	pause, readsAgain := c.server.readPause, c.server.readsAgain
 	c.server.mu.Unlock()
+	if readsAgain != nil {
+		<-readsAgain
+	}
 	if pause > 0 {
 		time.Sleep(pause)
 		b = b[:min(len(b), 4<<10)]
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -67,7 +67,8 @@
 	receivedAt        time.Time // of the latest bytes; of a backlog, the earliest possible time
 	hasBacklog        bool      // bytes arrived before a Read waited for them, and the kernel may have more
 	backlogReadAt     time.Time // with hasBacklog: when the kernel last had no more
-	isPaused          bool      // nothing is read: the request waits for memory in this agent
+	isPaused          bool      // nothing is read: the request waits for memory or an upstream server
+	pausedAt          time.Time // start of the latest pause
 	resumedAt         time.Time // when reading continued after a pause
 	closesUnlessInput bool      // the current Read ends the connection unless there is input
 	isBodyAbandoned   bool      // the rest of the current body is not needed
@@ -210,7 +211,7 @@
 func (c *downstreamConn) pauseReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isPaused = true
+	c.isPaused, c.pausedAt = true, time.Now()
 }
 
 // resumeReading ends a pause. It keeps receivedAt, from which the client's time counts.
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -20,8 +20,8 @@
 	bodyStallTimeout = time.Second
 	// minBodyBytesPerSecond is the minimum rate of a body after requestTimeout.
 	minBodyBytesPerSecond = 32 << 10
-	// uploadMemoryTimeout is how long a streamed body may wait for its first memory. The client's time does not
-	// count yet, but the client is owed a final answer.
+	// uploadMemoryTimeout is how long a body that may be streamed may wait for its first memory, if the client's
+	// time has not begun.
 	uploadMemoryTimeout = 2 * time.Second
 )
 
@@ -61,8 +61,9 @@
 	requestMetrics *metrics.Request
 	conn           *downstreamConn
 	cancelRequest  context.CancelFunc // called if the client does not send the rest
-	complete       chan time.Time     // receives when the last byte arrived, once it was read; capacity 1
+	complete       chan time.Time     // receives when the last byte arrived, read or not; capacity 1
 	done           chan struct{}      // closed when the goroutine has ended
+	arrival        arrivalWatch       // reports to complete while nothing is read
 
 	mu          sync.Mutex
 	isAbandoned bool  // the rest is not needed
@@ -82,9 +83,11 @@
 		body: body, rest: bodystream.New(length, grant, maxReadAhead), conn: conn, requestMetrics: requestMetrics,
 		cancelRequest: cancelRequest, complete: make(chan time.Time, 1), done: make(chan struct{}),
 	}
-	op.Rest, op.BodyComplete = u.rest, u.complete
+	u.arrival.conn, u.arrival.timeLeft, u.arrival.onBegun = conn, op.TimeLeft, u.reportComplete
+	op.Rest, op.BodyComplete, op.ClientWaited = u.rest, u.complete, u.arrival.clientWaited
 	release := op.Release
 	op.Release = func() { u.rest.CloseRead(); release() }
+	u.arrival.checkNow()
 	go u.read()
 	return u
 }
@@ -100,7 +103,7 @@
 		u.mu.Lock()
 		u.isComplete = true
 		u.mu.Unlock()
-		u.complete <- completedAt
+		u.reportComplete(completedAt)
 		return
 	}
 	u.rest.CloseWrite(err)
@@ -113,18 +116,23 @@
 	}
 }
 
+// reportComplete reports when the last byte arrived. Only the first report counts: a body that arrived while
+// nothing was read is reported before it is read.
+func (u *upload) reportComplete(at time.Time) {
+	select {
+	case u.complete <- at:
+	default:
+	}
+}
+
 // readRest copies the body to the stream; nil or io.EOF mean that it is complete.
 func (u *upload) readRest() error {
 	length := u.rest.Length()
 	for received := int64(0); received != length; {
-		waitedSince := time.Now()
-		u.conn.pauseReading()
-		buffer, err := u.rest.WriteBuffer()
-		u.conn.resumeReading()
+		buffer, err := u.waitForBuffer()
 		if err != nil {
 			return err
 		}
-		u.body.extend(time.Since(waitedSince))
 		n, err := u.body.Read(buffer)
 		u.rest.CommitWrite(n)
 		received += int64(n)
@@ -135,6 +143,19 @@
 	return nil
 }
 
+// waitForBuffer waits for memory for the next bytes of the body. That time does not count as the client's
+// delay in sending it.
+func (u *upload) waitForBuffer() ([]byte, error) {
+	waitedSince := time.Now()
+	u.conn.pauseReading()
+	u.arrival.start()
+	buffer, err := u.rest.WriteBuffer()
+	u.arrival.stop()
+	u.conn.resumeReading()
+	u.body.extend(time.Since(waitedSince))
+	return buffer, err
+}
+
 // stop ends the reading and waits for the goroutine. It reports whether the body is complete, else why not.
 func (u *upload) stop() (isComplete bool, err error) {
 	u.mu.Lock()
