A body that has arrived waits for memory no longer than its client does

Seen by callers: a request whose body had arrived, but which the agent could not read for want of memory (others held it), was answered after 2 s, however little time its client had. That also held for a chunked body of a few bytes, which might be long.

Cause: a body that may be streamed was given a fixed 2 s, on the ground that its client's time had not begun. It has begun once the body has arrived, which the agent did not look at while it waited.

Failed before: TestArrivedBodyWaitsForMemoryWithinItsTime, answers after 1.96 and 2.00 s with 0.3 s left.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -203,7 +203,7 @@
 	op, err := x.Decode(func(bytes int64, timeLeft time.Duration) (keep func(int64), err error) {
 		waitedSince := time.Now()
 		conn.pauseReading()
-		grant, err = f.reserveMemory(r, bytes, conn.requestStartedAt().Add(timeLeft-routing.ResponseMargin))
+		grant, err = f.reserveMemory(r, bytes, timeLeft)
 		conn.resumeReading()
 		body.extend(time.Since(waitedSince))
 		return func(n int64) { grant.Shrink(n) }, err
@@ -287,13 +287,24 @@
 	return err != nil && !errors.Is(err, bodystream.ErrAbandoned) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// reserveMemory reserves memory for a request's body, waiting for it until the deadline at most.
-func (f *Listener) reserveMemory(r *http.Request, bytes int64, deadline time.Time) (bytebudget.Grant, error) {
-	if bytes > protocol.MaxBufferedBody { // the client's time counts from the last byte, which is far off
+// reserveMemory reserves memory for a request's body, waiting for it while the client waits. The client's time
+// counts from the first byte of a short body; of a longer one, from when the last byte arrived.
+func (f *Listener) reserveMemory(r *http.Request, bytes int64, timeLeft time.Duration) (bytebudget.Grant, error) {
+	conn, timeLeft := connOf(r), timeLeft-routing.ResponseMargin
+	deadline := conn.requestStartedAt().Add(timeLeft)
+	isLong := bytes > protocol.MaxBufferedBody
+	if isLong {
 		deadline = time.Now().Add(uploadMemoryTimeout)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	if isLong {
+		arrival := arrivalWatch{conn: conn, timeLeft: timeLeft, onBegun: func(at time.Time) {
+			time.AfterFunc(time.Until(at.Add(timeLeft)), cancel)
+		}}
+		arrival.start()
+		defer arrival.stop()
+	}
 	client, _, _ := net.SplitHostPort(r.RemoteAddr) // net/http's own form
 	return f.bodies.Memory.Reserve(ctx, bytebudget.Holder{Name: client, IsRequest: true}, bytes)
 }
