An upstream server that takes nothing of a long body is noticed

Seen by callers: while a client went on sending, a server that took nothing of its body was waited for as long as the system had room for more, and nothing counted against the server. Responses have such a limit (ResponseProgress.CheckLimits), bodies that clients send have one (pacedBody); the way to the server had none.

Change: an attempt ends as timed out where its server takes nothing for longer than the attempt's timeout, at least 1 s, though there is something to write. A client that sends nothing is told apart: then no write is under way. The attempt was not written whole, so that nothing has run, and it counts against the server.

Failed before: TestServerThatTakesNothingOfABody (the attempt had not ended within a minute).

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -110,6 +110,9 @@
 		return
 	}
 	r, timeout := a.request.Request, a.announcedTimeout()
+	if r.Rest != nil {
+		defer e.watchWriting()()
+	}
 	e.response, e.reusable, e.err = e.conn.RoundTrip(a.ctx, transport.UpstreamRequest{
 		Head: protocol.AppendUpstreamRequest(nil, r, timeout),
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
@@ -126,6 +129,32 @@
 	}
 }
 
+// watchWriting checks every progressInterval that the endpoint takes the request's body, until stop is called
+// or the body's last byte has arrived: from then on the attempt's timeout applies.
+func (e *exchange) watchWriting() (stop func()) {
+	a, conn, done := e.attempt, e.conn, make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			timeout := a.deadlines.Load().timeoutAfterBody
+			if timeout == 0 {
+				return
+			}
+			if reason := routing.CheckServerStall(conn.WriteStalledFor(), timeout); reason != routing.NotEnded {
+				a.cancel(reason)
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 // startStreaming reports that the response has begun, and checks its limits every
 // progressInterval from then on.
 func (e *exchange) startStreaming(response protocol.UpstreamResponse) {
--- a/internal/agent/upstream_test.go
+++ b/internal/agent/upstream_test.go
@@ -263,3 +263,52 @@
 	require.False(t, b.result.Reused, "it was sent on a new connection")
 	require.Len(t, received, 1, "it was sent once")
 }
+
+// Guards against an endpoint that takes nothing of a long body and is waited for as long as the client sends. The attempt
+// times out, and counts against the endpoint; where the client sends nothing for a while, the attempt goes on.
+func TestServerThatTakesNothingOfABody(t *testing.T) {
+	t.Parallel()
+	const timeout = 100 * time.Millisecond
+	hung := make(chan struct{})
+	s := startUpstreamHarness(t, func(int, *net.TCPConn) { <-hung }, nil)
+	defer close(hung)
+	bodies := bytebudget.NewPool(1 << 20)
+	newUpload := func(id string) (*attempt, *bodystream.Stream) {
+		grant, err := bodies.Reserve(t.Context(), bytebudget.Holder{Name: "c", IsRequest: true}, bodystream.ChunkBytes)
+		require.NoError(t, err)
+		rest := bodystream.New(-1, grant, bodystream.ChunkBytes)
+		a := s.newAttempt(id)
+		a.request.Method, a.request.Length, a.request.Rest = http.MethodPost, -1, rest
+		a.deadlines.Load().timeoutAfterBody = timeout
+		return a, rest
+	}
+	slow, slowBody := newUpload("000000000000000a")
+	s.upstream.mail.put(slow)
+	a, body := newUpload("000000000000000b")
+	s.upstream.mail.put(a)
+	began := time.Now()
+	go func() {
+		for {
+			buffer, err := body.WriteBuffer()
+			if err != nil {
+				body.CloseWrite(err)
+				return
+			}
+			body.CommitWrite(len(buffer))
+		}
+	}()
+	end, _ := s.awaitEnd()
+	body.CloseRead()
+	require.Equal(t, a, end.attempt)
+	require.Equal(t, routing.TimedOut, end.result.EndReason)
+	require.Equal(t, routing.Writing, end.result.Phase)
+	require.False(t, end.result.LocalFault, "it counts against the endpoint")
+	require.Greater(t, time.Since(began), time.Second, "an endpoint may pause")
+	require.Less(t, time.Since(began), 2*time.Second)
+
+	slow.cancel(routing.Canceled)
+	end, _ = s.awaitEnd()
+	require.Equal(t, routing.Canceled, end.result.EndReason, "a body that its client has not sent yet does not time out")
+	slowBody.CloseWrite(bodystream.ErrAbandoned)
+	slowBody.CloseRead()
+}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +47,9 @@
 	done      chan struct{} // closed when the connection is not read any more
 	release   func()
 
+	// writeStall measures for how long the server takes nothing of a streamed request.
+	writeStall writeStall
+
 	mu       sync.Mutex
 	current  *UpstreamRequest // request in flight; nil if there is none
 	hasEnded bool             // the connection has ended while no request was in flight
@@ -225,7 +227,7 @@
 	}
 	defer context.AfterFunc(request.ctx, func() { request.Rest.Abort(bodystream.ErrAbandoned) })()
 	wrote := make(chan error, 1)
-	go func() { wrote <- writeStreamed(connWriter{u.conn}, request) }()
+	go func() { wrote <- u.writeStreamed(request) }()
 	select {
 	case err := <-wrote:
 		return nil, true, err
@@ -274,47 +276,6 @@
 	return &responseEvent{err: errors.Join(ErrNotWritten, ErrInvalidResponse, event.err)}, false
 }
 
-const (
-	lineEnd   = "\r\n"
-	lastChunk = "0\r\n\r\n"
-)
-
-// writeStreamed writes a request whose body is still being received.
-func writeStreamed(w connWriter, request *UpstreamRequest) error {
-	if _, err := w.Write(request.Head); err != nil {
-		return err
-	}
-	if err := writePart(w, request, request.Body); err != nil {
-		return err
-	}
-	for {
-		b, err := request.Rest.ReadBuffer()
-		switch {
-		case errors.Is(err, io.EOF) && request.Chunked:
-			_, err = io.WriteString(w, lastChunk)
-			return err
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return errors.Join(ErrClientStopped, err)
-		}
-		if err := writePart(w, request, b); err != nil {
-			return err
-		}
-		request.Rest.Consume(len(b))
-	}
-}
-
-// writePart writes a part of a body, as a chunk if the body is chunked.
-func writePart(w connWriter, request *UpstreamRequest, b []byte) error {
-	parts := net.Buffers{b}
-	if request.Chunked {
-		size := strconv.AppendInt(nil, int64(len(b)), 16)
-		parts = net.Buffers{append(size, lineEnd...), b, []byte(lineEnd)}
-	}
-	return w.writeBuffers(parts)
-}
-
 // discardResponse receives the response to a request that was not written completely: a server may respond
 // before it has read everything, and the memory of that response must be released.
 func (u *UpstreamConn) discardResponse() {
