A body written to its last byte counts as written whatever ends its attempt

What callers could see: 503 with the promise that nothing ran, for a request that its server had whole; a client that repeats it has it run twice.

Cause: after the last byte of a body of known length the writer waits for the end of the stream. An attempt that is given up just then was reported as not written. Now the length tells that all is written.

Failed before: TestBodyWrittenToItsLastByteCountsAsWritten (ErrNotWritten).

--- a/internal/transport/streamedwrite.go
+++ b/internal/transport/streamedwrite.go
@@ -14,7 +14,8 @@
 	lastChunk = "0\r\n\r\n"
 )
 
-// writeStreamed writes a request whose body is still being received.
+// writeStreamed writes a request whose body is still being received. A body whose length is known is written
+// once its last byte is, whatever becomes of the stream then: the server may execute the request.
 func (u *UpstreamConn) writeStreamed(request *UpstreamRequest) error {
 	if err := u.writeParts(net.Buffers{request.Head}); err != nil {
 		return err
@@ -22,7 +23,7 @@
 	if err := u.writeBodyPart(request, request.Body); err != nil {
 		return err
 	}
-	for {
+	for left := request.Rest.Length(); request.Chunked || left > 0; {
 		b, err := request.Rest.ReadBuffer()
 		switch {
 		case errors.Is(err, io.EOF) && request.Chunked:
@@ -35,8 +36,10 @@
 		if err := u.writeBodyPart(request, b); err != nil {
 			return err
 		}
+		left -= int64(len(b))
 		request.Rest.Consume(len(b))
 	}
+	return nil
 }
 
 // writeBodyPart writes a part of a body, as a chunk if the body is chunked.
--- a/internal/transport/upstreamraces_test.go
+++ b/internal/transport/upstreamraces_test.go
@@ -307,3 +307,32 @@
 		})
 	}
 }
+
+// Guards against a request that is reported as not written, and so as not executed, although the server has all of it: the
+// attempt is given up after the last byte of a body of known length was written, before the end of the stream is known.
+func TestBodyWrittenToItsLastByteCountsAsWritten(t *testing.T) {
+	u, bodies, server := tcpPair(t)
+	const length = 1000
+	grant, err := bodies.Memory.Reserve(t.Context(), bytebudget.Holder{Name: "c", IsRequest: true}, length)
+	require.NoError(t, err)
+	rest := bodystream.New(length, grant, length)
+	buffer, err := rest.WriteBuffer()
+	require.NoError(t, err)
+	rest.CommitWrite(len(buffer)) // the stream's end is not known yet
+	ctx, giveUp := context.WithCancel(testContext(t))
+	go func() {
+		r, err := http.ReadRequest(bufio.NewReader(server))
+		if assert.NoError(t, err) {
+			_, err = io.Copy(io.Discard, r.Body)
+			assert.NoError(t, err, "the server has the whole request")
+		}
+		giveUp()
+	}()
+	_, _, err = u.RoundTrip(ctx, UpstreamRequest{
+		Head: []byte(fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", length)), Rest: rest,
+	})
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrNotWritten)
+	rest.CloseWrite(io.EOF)
+	rest.CloseRead()
+}
