A client that has closed is gone, whatever it sent before is unread

Cause: before an attempt is written the agent asks whether its client has closed. It peeked a byte, and took a connection with anything to read for open. The requests behind the first, unread, hid the close.

Evidence: the system knows it meanwhile. On a connection with two unread requests poll has POLLRDHUP after the client's close and half close, and POLLHUP with POLLERR after its reset, while a peek still returns a byte (TestCloseBehindUnreadBytes). Ruled out: that the agent asks too early, or not at all (it asks right before the write, and the attempts began 160 ms and more after the close).

Change: the agent asks with poll, which goes by what has arrived. A connection that is open, with or without unread bytes, is not affected; a poll that the system refuses for a moment counts as open.

--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -40,11 +40,19 @@
 	return int(info.Unacked) // of a listening socket
 }
 
-// isClosedByPeer reports whether a socket has nothing more to read because its peer has closed the
-// connection.
+// closedEvents are the events that a peer's close or reset leaves on a socket.
+const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR | unix.POLLNVAL
+
+// isClosedByPeer reports whether a socket's peer has closed or reset the connection. Bytes that it sent before
+// may be unread: they hide the end from a reader, but not from the system.
 func isClosedByPeer(fd uintptr) bool {
-	n, err := peek(fd)
-	return n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !lacksMemory(err)
+	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(sockets, 0)
+		if !errors.Is(err, syscall.EINTR) {
+			return err == nil && sockets[0].Revents&closedEvents != 0
+		}
+	}
 }
 
 // maxPeekTries is how often peek tries while the system lacks memory.
--- a/internal/transport/arrivals_test.go
+++ b/internal/transport/arrivals_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net"
 	"syscall"
@@ -45,6 +46,30 @@
 	require.Eventually(t, c.isClosedByClient, 5*time.Second, time.Millisecond)
 }
 
+// Guards against a client that has gone and counts as open, since bytes that it sent before are unread: a close and a reset
+// are known behind them. A client that is open and has sent bytes is not taken for one that has gone.
+func TestCloseBehindUnreadBytes(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"close":      (*net.TCPConn).Close,
+		"half close": (*net.TCPConn).CloseWrite,
+		"reset": func(c *net.TCPConn) error {
+			return errors.Join(c.SetLinger(0), c.Close())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, accepted, raw := connectedPair(t)
+			c := &downstreamConn{Conn: accepted, rawConn: raw, conns: &downstreamConns{}}
+			require.False(t, c.isClosedByClient())
+			_, err := io.WriteString(client, testRequest+testRequest)
+			require.NoError(t, err)
+			require.Eventually(t, c.hasInput, 5*time.Second, time.Millisecond)
+			require.False(t, c.isClosedByClient(), "open, with unread bytes")
+			require.NoError(t, end(client.(*net.TCPConn)))
+			require.Eventually(t, c.isClosedByClient, 5*time.Second, time.Millisecond)
+		})
+	}
+}
+
 // Where the system does not tell the age of data, a late timer shows that this process was not scheduled.
 func TestPauseMonitor(t *testing.T) {
 	var m pauseMonitor
--- a/internal/transport/upstreamraces_test.go
+++ b/internal/transport/upstreamraces_test.go
@@ -321,10 +321,10 @@
 	rest.CommitWrite(len(buffer)) // the stream's end is not known yet
 	ctx, giveUp := context.WithCancel(testContext(t))
 	go func() {
-		r, err := http.ReadRequest(bufio.NewReader(server))
-		if assert.NoError(t, err) {
-			_, err = io.Copy(io.Discard, r.Body)
-			assert.NoError(t, err, "the server has the whole request")
+		r, readErr := http.ReadRequest(bufio.NewReader(server))
+		if assert.NoError(t, readErr) {
+			_, readErr = io.Copy(io.Discard, r.Body)
+			assert.NoError(t, readErr, "the server has the whole request")
 		}
 		giveUp()
 	}()
