A request in flight ends when its client closes behind unread bytes

Seen by callers: nothing by itself; a request whose client had gone kept its memory, its place and its attempt until its answer could not be written, and the requests behind it were begun one after the other.

Cause: net/http notices the end of a client by reading on, and stops after one byte of a next request; a body that the agent reads no further hides the end as well. Nothing else looked.

Change: while a request is in flight and unread bytes may hide the close, the agent asks the system every 20 ms, and cancels the request as net/http does. That also ends a response being streamed and a wait for memory. Requests on ordinary connections are not watched.

--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -76,6 +76,7 @@
 	wasEvictedIdle    bool      // evicted with nothing open on it
 	requestsStarted   int       // requests whose header was passed to a handler
 	framing           requestFraming
+	closeWatch        closeWatch
 	// idleTimer checks whether the connection has been idle long enough to be closed. It keeps running while a
 	// request is in flight, which costs less than stopping and starting it for each request.
 	idleTimer *time.Timer
@@ -106,6 +107,8 @@
 		return 0, net.ErrClosed
 	case connNew, connIdle:
 		c.setState(connReading)
+	case connBusy: // from here on, unread bytes can hide the client's close from net/http
+		c.startCloseWatch()
 	}
 	c.recordArrival(arrival{isBacklog: isBacklog, isAll: n < len(b)})
 	c.framing.advance(b[:n], c.receivedAt)
@@ -179,7 +182,7 @@
 	return c.conns.pauses.earliestArrival()
 }
 
-// isClosedByClient reports whether the client has closed the connection, and nothing that it sent is unread.
+// isClosedByClient reports whether the client has closed the connection, whatever it sent before is unread.
 func (c *downstreamConn) isClosedByClient() (isClosed bool) {
 	err := c.rawConn.Control(func(fd uintptr) { isClosed = isClosedByPeer(fd) })
 	return err != nil || isClosed
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -175,7 +175,7 @@
 	}
 	switch {
 	case framing == framedByBoth:
-		f.writeResponse(w, r, x, protocol.Response{Kind: protocol.Malformed, Body: []byte("two lengths\n")}, nil)
+		f.writeResponse(r.Context(), w, r, x, protocol.Response{Kind: protocol.Malformed, Body: []byte("two lengths\n")}, nil)
 	case r.URL.Path == "/health/ready":
 		f.announceClose(conn, w.Header())
 		f.serveReadiness(w)
@@ -194,6 +194,8 @@
 	deadline time.Time,
 ) {
 	conn := connOf(r)
+	ctx, end := conn.requestContext(r.Context())
+	defer end()
 	body := &pacedBody{control: http.NewResponseController(w), deadline: deadline}
 	if r.ContentLength != 0 {
 		body.ReadCloser = http.MaxBytesReader(w, r.Body, protocol.MaxUpload)
@@ -203,7 +205,7 @@
 	op, err := x.Decode(func(bytes int64, timeLeft time.Duration) (keep func(int64), err error) {
 		waitedSince := time.Now()
 		conn.pauseReading()
-		grant, err = f.reserveMemory(r, bytes, timeLeft)
+		grant, err = f.reserveMemory(ctx, r, bytes, timeLeft)
 		conn.resumeReading()
 		body.extend(time.Since(waitedSince))
 		return func(n int64) { grant.Shrink(n) }, err
@@ -215,11 +217,11 @@
 	requestMetrics := f.metrics.NewRequest(class)
 	defer requestMetrics.End(metrics.Abandoned)
 	if err != nil {
-		f.writeResponse(w, r, x, decodeErrorResponse(err), requestMetrics)
+		f.writeResponse(ctx, w, r, x, decodeErrorResponse(err), requestMetrics)
 		return
 	}
 	if op.Length != 0 {
-		f.serveUpload(w, r, x, op, body, grant.Split(bodystream.ChunkBytes), requestMetrics)
+		f.serveUpload(ctx, w, r, x, op, body, grant.Split(bodystream.ChunkBytes), requestMetrics)
 		return
 	}
 	requestMetrics.Start()
@@ -227,12 +229,12 @@
 	if r.ContentLength != 0 {
 		_ = body.control.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
-	response, isOwed := f.handler.HandleRequest(r.Context(), op)
+	response, isOwed := f.handler.HandleRequest(ctx, op)
 	if !isOwed {
 		panic(http.ErrAbortHandler) // closes the connection: a return would write an empty 200
 	}
 	f.announceClose(conn, w.Header())
-	f.writeResponse(w, r, x, response, requestMetrics)
+	f.writeResponse(ctx, w, r, x, response, requestMetrics)
 }
 
 // decodeErrorResponse returns the response to a request that could not be decoded.
@@ -249,6 +251,7 @@
 
 // serveUpload answers a request whose body is streamed.
 func (f *Listener) serveUpload(
+	ctx context.Context,
 	w http.ResponseWriter,
 	r *http.Request,
 	x protocol.Exchange,
@@ -258,11 +261,11 @@
 	requestMetrics *metrics.Request,
 ) {
 	conn := connOf(r)
-	ctx, cancelRequest := context.WithCancel(r.Context())
+	requestCtx, cancelRequest := context.WithCancel(ctx)
 	defer cancelRequest()
 	op.ArrivedAt, op.ClientGone = time.Now(), conn.isClosedByClient
 	up := startUpload(op, body, grant, conn, requestMetrics, cancelRequest)
-	response, isOwed := f.handler.HandleRequest(ctx, op)
+	response, isOwed := f.handler.HandleRequest(requestCtx, op)
 	defer conn.responseDone()
 	isComplete, err := up.stop()
 	if isComplete { // otherwise net/http must not wait for the rest
@@ -279,7 +282,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	f.announceClose(conn, w.Header())
-	f.writeResponse(w, r, x, response, requestMetrics)
+	f.writeResponse(ctx, w, r, x, response, requestMetrics)
 }
 
 // isClientFault distinguishes a body that was malformed or too slow from a client that has disconnected.
@@ -289,19 +292,22 @@
 
 // reserveMemory reserves memory for a request's body, waiting for it while the client waits. The client's time
 // counts from the first byte of a short body; of a longer one, from when the last byte arrived.
-func (f *Listener) reserveMemory(r *http.Request, bytes int64, timeLeft time.Duration) (bytebudget.Grant, error) {
+func (f *Listener) reserveMemory(ctx context.Context, r *http.Request, bytes int64, timeLeft time.Duration) (
+	bytebudget.Grant, error,
+) {
 	conn, timeLeft := connOf(r), timeLeft-routing.ResponseMargin
 	deadline := conn.requestStartedAt().Add(timeLeft)
 	isLong := bytes > protocol.MaxBufferedBody
 	if isLong {
 		deadline = time.Now().Add(uploadMemoryTimeout)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if isLong {
 		arrival := arrivalWatch{conn: conn, timeLeft: timeLeft, onBegun: func(at time.Time) {
 			time.AfterFunc(time.Until(at.Add(timeLeft)), cancel)
 		}}
+		conn.watchClose()
 		arrival.start()
 		defer arrival.stop()
 	}
--- a/internal/transport/responsewriter.go
+++ b/internal/transport/responsewriter.go
@@ -15,9 +15,11 @@
 	"dunestep/internal/protocol"
 )
 
-// writeResponse writes a response, and counts how the request ended. It aborts the connection if the response
+// writeResponse writes a response, and counts how the request ended. ctx ends if the client closes the
+// connection. It aborts the connection if the response
 // can't be written completely: the part that was written could look complete.
 func (f *Listener) writeResponse(
+	ctx context.Context,
 	w http.ResponseWriter,
 	r *http.Request,
 	x protocol.Exchange,
@@ -36,10 +38,10 @@
 	if response.BodyStream != nil {
 		defer response.BodyStream.CloseRead()
 		if err == nil {
-			err = out.copyBody(r.Context(), response.BodyStream)
+			err = out.copyBody(ctx, response.BodyStream)
 		}
 	}
-	requestMetrics.End(outcomeOf(response.Kind, err, out.isClientLost || r.Context().Err() != nil))
+	requestMetrics.End(outcomeOf(response.Kind, err, out.isClientLost || ctx.Err() != nil))
 	if err != nil {
 		// HTTP/1.0 has no chunks: only a reset shows that the response is incomplete.
 		if errors.Is(err, os.ErrDeadlineExceeded) || !r.ProtoAtLeast(1, 1) {
--- a/internal/transport/upload.go
+++ b/internal/transport/upload.go
@@ -148,6 +148,7 @@
 func (u *upload) waitForBuffer() ([]byte, error) {
 	waitedSince := time.Now()
 	u.conn.pauseReading()
+	u.conn.watchClose()
 	u.arrival.start()
 	buffer, err := u.rest.WriteBuffer()
 	u.arrival.stop()
