A partly written body is not sent on once its client has gone

Seen by callers: nothing by itself; a long body, of which a part was at a stopped server, could be completed there when it read again, and the booking began seconds after its client had gone.

Cause: an attempt that was being written was left alone when its client went, which is right for a request that is written at once. Of a streamed one the last byte may be written much later.

Change: an attempt with a streamed body that is not written to its last byte is canceled like an unsent one, and counts neither for nor against the server.

Failed before: TestPartlyWrittenBodyIsNotSentOn (the attempt went on to its timeout of a minute).

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex
 	obsolete bool // the request has its response, or its client has left
 	writing  bool // the attempt is being written, or has been
+	isWhole  bool // the last byte has been written
 }
 
 // attemptDeadlines are the deadlines of an attempt. They change once, when its request's body is complete.
@@ -133,16 +134,25 @@
 }
 
 // cancelIfUnsent cancels the attempt if it is not written yet: the request has its response, or no client. An
-// attempt that is being written, or has been, continues to its end.
+// attempt that is being written, or has been, continues to its end, unless its body is streamed: an endpoint
+// begins a request with its last byte, and that may be written much later.
 func (a *attempt) cancelIfUnsent() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.obsolete = true
-	if !a.writing {
+	if !a.writing || a.request.Rest != nil && !a.isWhole {
 		a.cancel(routing.Canceled)
 	}
 }
 
+// recordWritten records that the last byte has been written.
+func (a *attempt) recordWritten() {
+	a.written = time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isWhole = true
+}
+
 // reschedule changes the deadlines, now that the request's body is complete.
 func (a *attempt) reschedule(giveUpAt, deadline time.Time) {
 	a.deadlines.Store(&attemptDeadlines{giveUpAt: giveUpAt, deadline: deadline})
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -117,7 +117,7 @@
 		Head: protocol.AppendUpstreamRequest(nil, r, timeout),
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
 		Streamed: a.streams, IsGraphQL: r.IsGraphQL,
-		OnWritten: func() { a.written = time.Now(); e.upstream.settings.metrics.AttemptSent() },
+		OnWritten: func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
 		OnResponseStart: func(response protocol.UpstreamResponse) {
 			e.streamed = response.BodyStream
 			e.startStreaming(response)
--- a/internal/agent/unsentattempt_test.go
+++ b/internal/agent/unsentattempt_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"dunestep/internal/balancer"
+	"dunestep/internal/bodystream"
+	"dunestep/internal/bytebudget"
 	"dunestep/internal/metrics"
 	"dunestep/internal/protocol"
 	"dunestep/internal/routing"
@@ -98,3 +102,42 @@
 	require.Error(t, waiting.ctx.Err(), "it stops waiting for its connection")
 	u.mail.put(retire{})
 }
+
+// Guards against an attempt whose long body goes on to its endpoint after its client has gone: the endpoint begins a request
+// with its last byte, and would take it when it reads again.
+func TestPartlyWrittenBodyIsNotSentOn(t *testing.T) {
+	readAgain, seen := make(chan struct{}), make(chan int64, 1)
+	resume := sync.OnceFunc(func() { close(readAgain) })
+	defer resume()
+	const size = 16 << 20 // more than all buffers on the way
+	s := startUpstreamHarness(t, func(_ int, c *net.TCPConn) {
+		<-readAgain
+		n, _ := io.Copy(io.Discard, c)
+		seen <- n
+	}, nil)
+	grant, err := bytebudget.NewPool(1<<20).Reserve(t.Context(), bytebudget.Holder{Name: "c", IsRequest: true}, bodystream.ChunkBytes)
+	require.NoError(t, err)
+	body := bodystream.New(size, grant, bodystream.ChunkBytes)
+	go func() {
+		for sent := 0; sent < size; {
+			buffer, err := body.WriteBuffer()
+			if err != nil {
+				body.CloseWrite(err)
+				return
+			}
+			body.CommitWrite(len(buffer))
+			sent += len(buffer)
+		}
+		body.CloseWrite(io.EOF)
+	}()
+	a := s.newAttempt("000000000000000a")
+	a.request.Method, a.request.Length, a.request.Rest = http.MethodPost, size, body
+	s.upstream.mail.put(a)
+	require.Eventually(t, func() bool { return body.Progress().StalledFor > 100*time.Millisecond }, time.Minute, time.Millisecond)
+	a.cancelIfUnsent()
+	end, _ := s.awaitEnd()
+	require.Equal(t, balancer.Canceled, end.result.Outcome(), "it does not count against the endpoint")
+	resume()
+	require.Less(t, <-seen, int64(size))
+	body.CloseRead()
+}
