--- a/cmd/dunestep/leavingclients_test.go
+++ b/cmd/dunestep/leavingclients_test.go
@@ -32,18 +32,24 @@
 	return ids
 }
 
-// sendAndLeave sends requests at once, and leaves after a while: by a close, or by a reset.
-func (w *testbed) sendAndLeave(count, timeLeftMS int, stay time.Duration, leave func(*net.TCPConn)) leavingClient {
+// manyRequests returns requests to be sent at once.
+func (w *testbed) manyRequests(count, timeLeftMS int) string {
 	var text strings.Builder
 	for i := range count {
 		text.WriteString(w.requestText([]string{"consult", "rezervare"}[i%2], timeLeftMS))
 	}
+	return text.String()
+}
+
+// sendAndLeave sends requests at once, and leaves after a while: by a close, or by a reset.
+func (w *testbed) sendAndLeave(count, timeLeftMS int, stay time.Duration, leave func(*net.TCPConn)) leavingClient {
+	text := w.manyRequests(count, timeLeftMS)
 	c, err := net.Dial("tcp", w.addr)
 	require.NoError(w.t, err)
-	_, err = io.WriteString(c, text.String())
+	_, err = io.WriteString(c, text)
 	require.NoError(w.t, err)
 	time.Sleep(stay)
-	client := leavingClient{ids: requestIDs(text.String()), leftAt: time.Now()}
+	client := leavingClient{ids: requestIDs(text), leftAt: time.Now()}
 	leave(c.(*net.TCPConn))
 	return client
 }
@@ -107,11 +113,7 @@
 	for range 6 {
 		clients.Go(func() {
 			c := w.newRawClient()
-			var text strings.Builder
-			for i := range 60 {
-				text.WriteString(w.requestText([]string{"consult", "rezervare"}[i%2], 60000))
-			}
-			_, err := io.WriteString(c, text.String())
+			_, err := io.WriteString(c, w.manyRequests(60, 60000))
 			require.NoError(t, err)
 			for range 60 {
 				require.Equal(t, 200, c.readAnswer().status)
--- a/cmd/dunestep/stalledservers_test.go
+++ b/cmd/dunestep/stalledservers_test.go
@@ -55,8 +55,9 @@
 
 // longBody is the body of a request to send.
 type longBody struct {
-	size      int
-	isChunked bool
+	size          int
+	isChunked     bool
+	pieceInterval time.Duration // between pieces of it; zero: it is sent at once
 }
 
 // encode returns the header field that tells the body's framing, and the framed body.
@@ -67,25 +68,55 @@
 	return fmt.Sprint("Content-Length: ", b.size), uniqueBody(b.size, id)
 }
 
+// longRequestText returns a request with a long body.
+func longRequestText(id, key string, content longBody, timeLeft time.Duration) string {
+	framing, body := content.encode(id)
+	return fmt.Sprintf("POST /rezervare/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Account: acme\r\nCookie: sid=%s\r\n"+
+		"X-Time-Left-Ms: %d\r\n%s\r\n\r\n%s", id, key, timeLeft.Milliseconds(), framing, body)
+}
+
 // sendLong sends a request with a long body, and waits for its answer for waitTimeout.
 func (w *testbed) sendLong(key string, content longBody, timeLeft time.Duration) *longRequest {
+	r, err := w.trySendLong(key, content, timeLeft)
+	require.NoError(w.t, err)
+	return r
+}
+
+// trySendLong is sendLong for an agent that may have ended.
+func (w *testbed) trySendLong(key string, content longBody, timeLeft time.Duration) (*longRequest, error) {
 	r := &longRequest{id: w.nextID(), timeLeft: timeLeft}
-	framing, body := content.encode(r.id)
+	text := longRequestText(r.id, key, content, timeLeft)
 	c, err := net.Dial("tcp", w.addr)
-	require.NoError(w.t, err)
+	if err != nil {
+		return nil, err
+	}
 	defer func() { _ = c.Close() }()
-	text := fmt.Sprintf("POST /rezervare/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Account: acme\r\nCookie: sid=%s\r\n"+
-		"X-Time-Left-Ms: %d\r\n%s\r\n\r\n%s", r.id, key, timeLeft.Milliseconds(), framing, body)
 	r.sentAt = time.Now()
 	go func() {
-		if _, err := io.WriteString(c, text); err == nil {
+		if content.write(c, text) == nil {
 			r.awaitTaken(c)
 		}
 	}()
 	_ = c.SetReadDeadline(r.sentAt.Add(waitTimeout))
 	r.status = readStatus(c)
 	r.endedAt = time.Now()
-	return r
+	return r, nil
+}
+
+// pieceBytes is the size of a piece of a body that is not sent at once.
+const pieceBytes = 40_000
+
+// write writes a request with the body.
+func (b longBody) write(c net.Conn, text string) error {
+	for b.pieceInterval > 0 && len(text) > pieceBytes {
+		if _, err := io.WriteString(c, text[:pieceBytes]); err != nil {
+			return err
+		}
+		text = text[pieceBytes:]
+		time.Sleep(b.pieceInterval)
+	}
+	_, err := io.WriteString(c, text)
+	return err
 }
 
 // readStatus reads an answer and returns its status; zero: there is no complete answer.
@@ -162,7 +193,7 @@
 	var clients sync.WaitGroup
 	for i := range requests {
 		clients.Go(func() {
-			requests[i] = w.sendLong("k", longBody{sizes[i/2], i%2 == 0}, timeLeft)
+			requests[i] = w.sendLong("k", longBody{size: sizes[i/2], isChunked: i%2 == 0}, timeLeft)
 		})
 	}
 	clients.Wait()
@@ -181,8 +212,8 @@
 func TestTimeAnnouncedWithBodySentBeforeItsAttempt(t *testing.T) {
 	t.Parallel()
 	for name, body := range map[string]longBody{
-		"arrived": {360_000, false}, "arrived, chunked": {360_000, true},
-		"partly at the client's machine": {1 << 20, false}, "partly, chunked": {1 << 20, true},
+		"arrived": {size: 360_000}, "arrived, chunked": {size: 360_000, isChunked: true},
+		"partly at the client's machine": {size: 1 << 20}, "partly, chunked": {size: 1 << 20, isChunked: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := start(t, 1, (*testbed).useLongTimeouts, usePlainBinary)
@@ -215,7 +246,7 @@
 	var clients sync.WaitGroup
 	for i := range requests {
 		clients.Go(func() {
-			requests[i] = w.sendLong("k", longBody{6 << 20, i == 0}, 1500*time.Millisecond)
+			requests[i] = w.sendLong("k", longBody{size: 6 << 20, isChunked: i == 0}, 1500*time.Millisecond)
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
@@ -240,7 +271,7 @@
 		var clients sync.WaitGroup
 		for i := range 8 {
 			clients.Go(func() {
-				r := w.sendLong(fmt.Sprintf("k%d", i), longBody{5 << 20, i%2 == 0}, timeLeft)
+				r := w.sendLong(fmt.Sprintf("k%d", i), longBody{size: 5 << 20, isChunked: i%2 == 0}, timeLeft)
 				require.NoError(t, r.check())
 			})
 		}
