--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -43,8 +43,8 @@
 // closedEvents are the events that a peer's close or reset leaves on a socket.
 const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR | unix.POLLNVAL
 
-// isClosedByPeer reports whether a socket's peer has closed or reset the connection. Bytes that it sent before
-// may be unread: they hide the end from a reader, but not from the system.
+// isClosedByPeer reports whether a socket's peer has closed or reset the connection. Bytes that it sent
+// before may be unread: they hide the end from a reader, but not from the system.
 func isClosedByPeer(fd uintptr) bool {
 	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	for {
--- a/internal/transport/closewatch.go
+++ b/internal/transport/closewatch.go
@@ -20,8 +20,8 @@
 	isStarted bool // the timer runs
 }
 
-// requestContext returns the context of the request in flight, which ends if the client closes the connection.
-// The caller calls end when the request has its response.
+// requestContext returns the context of the request in flight, which ends if the client closes the
+// connection. The caller calls end when the request has its response.
 func (c *downstreamConn) requestContext(parent context.Context) (ctx context.Context, end func()) {
 	ctx, cancel := context.WithCancel(parent)
 	c.mu.Lock()
@@ -36,7 +36,8 @@
 	}
 }
 
-// watchClose starts to look whether the client has closed the connection, as its input is not read for a while.
+// watchClose starts to look whether the client has closed the connection, as its input is not read for a
+// while.
 func (c *downstreamConn) watchClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -175,7 +175,8 @@
 	}
 	switch {
 	case framing == framedByBoth:
-		f.writeResponse(r.Context(), w, r, x, protocol.Response{Kind: protocol.Malformed, Body: []byte("two lengths\n")}, nil)
+		response := protocol.Response{Kind: protocol.Malformed, Body: []byte("two lengths\n")}
+		f.writeResponse(r.Context(), w, r, x, response, nil)
 	case r.URL.Path == "/health/ready":
 		f.announceClose(conn, w.Header())
 		f.serveReadiness(w)
@@ -290,8 +291,8 @@
 	return err != nil && !errors.Is(err, bodystream.ErrAbandoned) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// reserveMemory reserves memory for a request's body, waiting for it while the client waits. The client's time
-// counts from the first byte of a short body; of a longer one, from when the last byte arrived.
+// reserveMemory reserves memory for a request's body, waiting for it while the client waits. The client's
+// time counts from the first byte of a short body; of a longer one, from when the last byte arrived.
 func (f *Listener) reserveMemory(ctx context.Context, r *http.Request, bytes int64, timeLeft time.Duration) (
 	bytebudget.Grant, error,
 ) {
