Bans: an update that cannot lock the settings file overwrites nothing

Seen by callers: nothing yet.

Cause: an update that waited for the lock for 300 ms went on without it. The other update had read the file before and replaced it after, or the other way round, and the file kept one of the two.

Change: without the lock the settings are stored in a file of their own beside it. Reading merges such files, and the next update that has the lock merges and removes those that it has read. Operators have their response within a second as before, and each yes is on the disk.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -245,3 +245,45 @@
 	_, _, _, err = Connect(folder, "n0", listenAddr)
 	require.ErrorContains(t, err, "too long")
 }
+
+// Guards against a ban that was confirmed and is lost: one process updates the settings for longer than the other waits, as
+// on a disk that stands still. Neither overwrites what the other has stored.
+func TestSettingsFileWhileAnotherUpdateTakesLong(t *testing.T) {
+	folder := t.TempDir()
+	disabled := func(id string) ManualSettings {
+		return ManualSettings{Disabled: []routing.DisabledEndpoint{{ID: id, DisabledAt: 1}}}
+	}
+	file := NewSettingsFile(folder, "n0", listenAddr)
+	_, err := file.Update(disabled("before"), 2)
+	require.NoError(t, err)
+
+	slow := NewSettingsFile(folder, "n0", listenAddr)
+	unlock, isLocked := slow.lock()
+	require.True(t, isLocked)
+	read, err := slow.Read()
+	require.NoError(t, err)
+	began := time.Now()
+	merged, err := file.Update(disabled("meanwhile"), 2)
+	require.NoError(t, err)
+	require.Len(t, merged.Disabled, 2)
+	require.Less(t, time.Since(began), time.Second, "operators get a response")
+	requireDisabled := func(ids ...string) {
+		t.Helper()
+		got, readErr := NewSettingsFile(folder, "n0", listenAddr).Read()
+		require.NoError(t, readErr)
+		var found []string
+		for _, e := range got.Disabled {
+			found = append(found, e.ID)
+		}
+		require.ElementsMatch(t, ids, found)
+	}
+	requireDisabled("before", "meanwhile")
+	require.NoError(t, slow.write(slow.path, Merge(read, disabled("slow"), 2)))
+	unlock()
+	requireDisabled("before", "meanwhile", "slow")
+
+	_, err = file.Update(disabled("after"), 2)
+	require.NoError(t, err)
+	requireDisabled("before", "meanwhile", "slow", "after")
+	require.Empty(t, file.pendingPaths(), "they are merged once the lock is free")
+}
