The client and its time are asked for once more right before a write

Cause: between the look at the clock and the write lay the encoding of the request, a lock and a system call that looks for input, each a place to be stopped at.

Change: the last look is right before the write. An attempt that must not begin any more closes its connection, since input may have come for it meanwhile, and ends like an unsent one.

Failed before: TestClientIsAskedRightBeforeTheWrite (all attempts were written).

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -109,6 +109,7 @@
 		e.result.Phase = phaseOf(e.err)
 		return
 	}
+	mayWrite := true
 	r, timeout := a.request.Request, a.announcedTimeout()
 	if r.Rest != nil {
 		defer e.watchWriting()()
@@ -117,12 +118,15 @@
 		Head: protocol.AppendUpstreamRequest(nil, r, timeout),
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
 		Streamed: a.streams, IsGraphQL: r.IsGraphQL,
+		// Asked again: this process may not have been scheduled since beginWriting.
+		MayWrite: func() bool { mayWrite = a.beginWriting(); return mayWrite },
 		OnWritten: func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
 		OnResponseStart: func(response protocol.UpstreamResponse) {
 			e.streamed = response.BodyStream
 			e.startStreaming(response)
 		},
 	})
+	e.reusable = e.reusable || !mayWrite // nothing was written, and the attempt needs no other connection
 	e.result.Phase = phaseOf(e.err)
 	if e.err == nil && e.streamed == nil {
 		e.readLate = e.conn.TimeSinceData()
--- a/internal/agent/unsentattempt_test.go
+++ b/internal/agent/unsentattempt_test.go
@@ -141,3 +141,31 @@
 	require.Less(t, <-seen, int64(size))
 	body.CloseRead()
 }
+
+// Guards against an attempt for a client that has gone, or whose time ended, while this process was not scheduled between
+// its decision to write and the write: the last look is right before the write.
+func TestClientIsAskedRightBeforeTheWrite(t *testing.T) {
+	var requests atomic.Int32
+	s := startUpstreamHarness(t, func(_ int, c *net.TCPConn) {
+		respondToAll(c, func(*http.Request) { requests.Add(1) })
+	}, nil)
+	for _, isReused := range []bool{false, true} {
+		before := requests.Load()
+		if isReused {
+			s.upstream.mail.put(s.newAttempt("000000000000000a"))
+			end, _ := s.awaitEnd()
+			require.Equal(t, balancer.Served, end.result.Outcome())
+			before++
+		}
+		a := s.newAttempt("000000000000000b")
+		asked := 0
+		a.request.ClientGone = func() bool { asked++; return asked > 1 }
+		s.upstream.mail.put(a)
+		end, _ := s.awaitEnd()
+		require.Equal(t, balancer.Canceled, end.result.Outcome(), "reused %v", isReused)
+		require.Equal(t, before, requests.Load(), "reused %v", isReused)
+	}
+	s.upstream.mail.put(s.newAttempt("000000000000000c"))
+	end, _ := s.awaitEnd()
+	require.Equal(t, balancer.Served, end.result.Outcome(), "the next attempt has a connection")
+}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -79,6 +79,9 @@
 	Streamed bool
 	// IsGraphQL reports whether it is a GraphQL request.
 	IsGraphQL bool
+	// MayWrite is asked right before the first byte is written. If it returns false, nothing is written, and
+	// RoundTrip returns ErrStaleConnection. nil: the request may be written.
+	MayWrite func() bool
 	// OnWritten is called when the last byte has been written.
 	OnWritten func()
 	// OnResponseStart is called from the goroutine of RoundTrip when the response is not buffered to its end,
@@ -185,6 +188,11 @@
 		return response, false, ErrStaleConnection
 	}
 	stop := context.AfterFunc(ctx, u.Close)
+	if request.MayWrite != nil && !request.MayWrite() {
+		stop()
+		u.abandonRequest()
+		return response, false, ErrStaleConnection
+	}
 	early, isWritten, err := u.write(&request)
 	if err != nil {
 		stop()
@@ -219,6 +227,15 @@
 	return event.UpstreamResponse, true, nil
 }
 
+// abandonRequest ends the connection instead of writing the request in flight: what arrived meanwhile could be
+// taken for a response.
+func (u *UpstreamConn) abandonRequest() {
+	u.mu.Lock()
+	u.current, u.hasEnded = nil, true
+	u.mu.Unlock()
+	u.Close()
+}
+
 // write writes a request. If a response arrived before it was known whether the request was written
 // completely, it returns that response, and isWritten reports whether the request was.
 func (u *UpstreamConn) write(request *UpstreamRequest) (early *responseEvent, isWritten bool, err error) {
