A repeat is not written after the window in which servers recognize it

Its first attempt failed after 0.7 s, the connection for the repeat came up 1 s later, and the repeat was sent 1.7 s after the first, with a window (memorySpan) of 1 s.

Cause: the window was looked at when the repeat was decided on. Between the decision and the write lies the wait for a connection, which nothing bounded by the window.

Change: the decision passes on how much of the window is left; an attempt that has not begun by then, or has not written its streamed body to the end, is canceled, and the clock is asked right before the write.

Failed before: TestNoRepeatAfterDedupWindow (a repeat after 1.70 s, window 1 s).

Also: the arrival soak does not run beside other tests, and its bodies are cheap to make.

--- a/cmd/dunestep/arrivalsoak_test.go
+++ b/cmd/dunestep/arrivalsoak_test.go
@@ -45,8 +45,7 @@
 // requests at once and leave. Each request that the agent's machine has taken gets its final answer in time, whatever the
 // endpoints take; none that was rejected has run; no attempt begins for a client that has left, and none passes on more
 // time than its client has left. At the end the agent is told to end, in every other run while endpoints are stopped.
-func TestArrivalSoak(t *testing.T) {
-	t.Parallel()
+func TestArrivalSoak(t *testing.T) { // not in parallel with others, whose bounds are in real time
 	seeds := shortArrivalSoak
 	if text := os.Getenv(arrivalSoakSeedsEnv); text != "" {
 		_, err := fmt.Sscan(text, &seeds[0], &seeds[1])
--- a/cmd/dunestep/idempotency_test.go
+++ b/cmd/dunestep/idempotency_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +38,35 @@
 	}
 	require.Equal(t, 3, attempts, "two attempts for the request with a key, one for the other")
 }
+
+// Guards against a booking that runs twice: the connection for its repeat is established only after the time for which
+// endpoints recognize a repeat. The window is looked at when the repeat is written, not only when it is decided on.
+func TestNoRepeatAfterDedupWindow(t *testing.T) {
+	const window, work = time.Second, 700 * time.Millisecond
+	w := start(t, 3, usePlainBinary, (*testbed).useLongTimeouts, func(w *testbed) {
+		class := w.config["settings"].(object)["categories"].([]object)[1]
+		class["effect"], class["keyScope"], class["memorySpan"] = "dedup", "all", window.Microseconds()
+	})
+	var connecting sync.Once
+	w.answerAll(func(upstreamAttempt) string {
+		connecting.Do(func() {
+			for _, s := range w.servers {
+				require.NoError(t, s.socket.IgnoreConnections())
+				time.AfterFunc(work+900*time.Millisecond, func() { _ = s.socket.AcceptConnections() })
+			}
+		})
+		time.Sleep(work)
+		return reply("500 Oh", "") + hangUp
+	})
+	require.Equal(t, http.StatusBadGateway, w.do(w.request("rezervare", 5000)).status)
+	time.Sleep(time.Second)
+	var attempts []time.Time
+	for _, s := range w.servers {
+		for _, a := range s.attempts() {
+			attempts = append(attempts, a.receivedAt)
+		}
+	}
+	require.NotEmpty(t, attempts)
+	slices.SortFunc(attempts, time.Time.Compare)
+	require.Less(t, attempts[len(attempts)-1].Sub(attempts[0]), window+measuringSlack, "%d attempts", len(attempts))
+}
--- a/cmd/dunestep/stalledservers_test.go
+++ b/cmd/dunestep/stalledservers_test.go
@@ -53,6 +53,9 @@
 	return text.String() + "0\r\n\r\n"
 }
 
+// repeated returns a text of a length, which repeats an id.
+func repeated(id string, size int) string { return strings.Repeat(id, size/len(id)+1)[:size] }
+
 // longBody is the body of a request to send.
 type longBody struct {
 	size          int
@@ -63,9 +66,9 @@
 // encode returns the header field that tells the body's framing, and the framed body.
 func (b longBody) encode(id string) (framing, text string) {
 	if b.isChunked {
-		return "Transfer-Encoding: chunked", chunked(uniqueBody(b.size, id))
+		return "Transfer-Encoding: chunked", chunked(repeated(id, b.size))
 	}
-	return fmt.Sprint("Content-Length: ", b.size), uniqueBody(b.size, id)
+	return fmt.Sprint("Content-Length: ", b.size), repeated(id, b.size)
 }
 
 // longRequestText returns a request with a long body.
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -22,6 +22,7 @@
 	cancelCtx context.CancelCauseFunc
 	cancel    context.CancelCauseFunc // stops the timer as well
 	timer     *time.Timer             // calls timeOut at giveUpAt; accessed only by the agent's actor
+	writeBy   time.Time               // when it must have been written; zero: at any time
 
 	// Accessed only by the attempt's goroutine.
 	sent    time.Time // start of the endpoint's time
@@ -55,6 +56,11 @@
 	a.cancelCtx = cancel
 	a.timer = time.AfterFunc(giveUpAt.Sub(a.sent), a.timeOut)
 	a.cancel = func(why error) { a.timer.Stop(); cancel(why) }
+	if start.WriteBy != 0 {
+		a.writeBy = c.time(start.WriteBy)
+		late := time.AfterFunc(time.Until(a.writeBy), a.cancelIfUnsent)
+		context.AfterFunc(ctx, func() { late.Stop() })
+	}
 	return a
 }
 
@@ -115,7 +121,8 @@
 	if !a.obsolete && !time.Now().Before(a.deadlines.Load().giveUpAt) {
 		a.cancel(routing.TimedOut)
 	}
-	a.obsolete = a.obsolete || a.ctx.Err() == nil && !a.request.beginForwarding()
+	isLate := !a.writeBy.IsZero() && time.Now().After(a.writeBy)
+	a.obsolete = a.obsolete || isLate || a.ctx.Err() == nil && !a.request.beginForwarding()
 	if a.obsolete {
 		a.cancel(routing.Canceled)
 	}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -119,7 +119,7 @@
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
 		Streamed: a.streams, IsGraphQL: r.IsGraphQL,
 		// Asked again: this process may not have been scheduled since beginWriting.
-		MayWrite: func() bool { mayWrite = a.beginWriting(); return mayWrite },
+		MayWrite:  func() bool { mayWrite = a.beginWriting(); return mayWrite },
 		OnWritten: func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
 		OnResponseStart: func(response protocol.UpstreamResponse) {
 			e.streamed = response.BodyStream
--- a/internal/agent/unsentattempt_test.go
+++ b/internal/agent/unsentattempt_test.go
@@ -169,3 +169,23 @@
 	end, _ := s.awaitEnd()
 	require.Equal(t, balancer.Served, end.result.Outcome(), "the next attempt has a connection")
 }
+
+// Guards against a repeat that is written after the time in which it is recognized as one: an attempt that waits for its
+// connection until then is not written.
+func TestAttemptIsNotWrittenAfterItsWindow(t *testing.T) {
+	var requests atomic.Int32
+	s := startUpstreamHarness(t, func(_ int, c *net.TCPConn) {
+		respondToAll(c, func(*http.Request) { requests.Add(1) })
+	}, func(set *upstreamSettings) { set.reuseDelay = time.Minute })
+	s.upstream.mail.put(s.newAttempt("000000000000000a"))
+	end, _ := s.awaitEnd()
+	require.Equal(t, balancer.Served, end.result.Outcome())
+
+	base := s.newAttempt("000000000000000b")
+	until := s.clock.now() + time.Minute
+	late := newAttempt(base.request, routing.Output{At: until, Deadline: until, WriteBy: s.clock.now() + 50*time.Millisecond}, s.clock)
+	s.upstream.mail.put(late) // it waits for the reuse of the connection
+	end, _ = s.awaitEnd()
+	require.Equal(t, balancer.Canceled, end.result.Outcome())
+	require.EqualValues(t, 1, requests.Load())
+}
--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -34,18 +34,21 @@
 
 // Action is one action for the caller to carry out. Which fields are set depends on Kind.
 type Action struct {
-	Kind      ActionKind
-	ID        uint32 // request id
-	Attempt   int    // attempt number within the request, from 0 in the order of Send actions
-	Server    string // server id
-	After     time.Duration
-	Tag       uint64
-	Peer      int // number of the receiving balancer
-	Data      []byte
-	Text      string
-	Reason    string // why a request ends, for the log
-	OverQuota bool   // rejected because of the tenant's quota, not for lack of capacity
-	Quota     Quota  // the tenant's quota, to report to the client; zero: none
+	Kind    ActionKind
+	ID      uint32 // request id
+	Attempt int    // attempt number within the request, from 0 in the order of Send actions
+	Server  string // server id
+	After   time.Duration
+	// WriteWithin is the time within which the attempt of a Send action may begin; zero: at any time. Later it
+	// could run a second time.
+	WriteWithin time.Duration
+	Tag         uint64
+	Peer        int // number of the receiving balancer
+	Data        []byte
+	Text        string
+	Reason      string // why a request ends, for the log
+	OverQuota   bool   // rejected because of the tenant's quota, not for lack of capacity
+	Quota       Quota  // the tenant's quota, to report to the client; zero: none
 }
 
 // Quota is this balancer's part of a tenant's quota, in requests.
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -50,7 +50,10 @@
 	s.slowStart.Spend(r.workUnits)
 	b.zoneReach.RecordAttempt(b.now, s.Zone)
 	b.accounts.RequestSent(&s.account, r.workUnits)
-	b.emit(Action{Kind: Send, ID: r.id, Server: s.ID, After: timeout})
+	b.emit(Action{
+		Kind: Send, ID: r.id, Server: s.ID, After: timeout,
+		WriteWithin: b.dedupWindowLeft(r.class, r.attempts[:len(r.attempts)-1]),
+	})
 	b.countOverride(r, s)
 }
 
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "dunestep/internal/balancer/outlier"
+import (
+	"time"
+
+	"dunestep/internal/balancer/outlier"
+)
 
 // skipReason is the reason why a server does not get a request.
 type skipReason uint8
@@ -105,6 +109,25 @@
 	return notSkipped
 }
 
+// dedupWindowLeft returns for how long servers still recognize a repeat of earlier attempts; zero if there is
+// no limit, because none of them may have been processed or the class may be processed repeatedly.
+func (b *Balancer) dedupWindowLeft(c *class, earlier []attempt) (left time.Duration) {
+	if c.Idempotency == Idempotent {
+		return 0
+	}
+	for i := range earlier {
+		a := &earlier[i]
+		if a.unprocessed {
+			continue
+		}
+		windowLeft := c.DedupWindow - b.settings.Tick - (b.now - a.outlier.StartedAt)
+		if left == 0 || windowLeft < left {
+			left = windowLeft
+		}
+	}
+	return left
+}
+
 // checkTrust returns why the server's health forbids sending the request there, or notSkipped, and the
 // purpose of the attempt. A server on probation is skipped only while it has no capacity for one more
 // attempt.
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -62,11 +62,15 @@
 		r.notStarted = append(r.notStarted, notStarted{req, number})
 		return
 	}
+	writeBy := time.Duration(0)
+	if act.WriteWithin != 0 {
+		writeBy = now + act.WriteWithin
+	}
 	req.attempts[number].running = true
 	r.useEndpoint(act.Server)
 	r.emit(Output{
 		Kind: StartAttempt, Request: req.id, Attempt: number, Endpoint: act.Server, At: until,
-		Deadline: req.deadline, Streaming: req.streaming, After: afterBody,
+		Deadline: req.deadline, Streaming: req.streaming, After: afterBody, WriteBy: writeBy,
 	})
 }
 
--- a/internal/routing/output.go
+++ b/internal/routing/output.go
@@ -20,7 +20,8 @@
 	Respond OutputKind = iota
 	// StartAttempt sends the request to an endpoint: Request, Attempt, Endpoint, At (when it times out),
 	// Deadline, Streaming (its response is forwarded from the first byte on), After (its timeout counted
-	// from the request's last byte, if that has not been received; else zero).
+	// from the request's last byte, if that has not been received; else zero), WriteBy (when it must have
+	// been written; zero: at any time).
 	StartAttempt
 	// RescheduleAttempt changes when an attempt times out, now that its request is complete: Request,
 	// Attempt, At, Deadline.
@@ -74,6 +75,7 @@
 	At        time.Duration // on the clock
 	Deadline  time.Duration // of the request's final response, on the clock
 	After     time.Duration
+	WriteBy   time.Duration // on the clock
 	Tag       uint64
 	Peer      int // number of the receiving agent
 	Data      []byte
