--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -227,8 +227,8 @@
 	return event.UpstreamResponse, true, nil
 }
 
-// abandonRequest ends the connection instead of writing the request in flight: what arrived meanwhile could be
-// taken for a response.
+// abandonRequest ends the connection instead of writing the request in flight: what arrived meanwhile could
+// be taken for a response.
 func (u *UpstreamConn) abandonRequest() {
 	u.mu.Lock()
 	u.current, u.hasEnded = nil, true
