--- a/cmd/dunestep/arrivalsoak_test.go
+++ b/cmd/dunestep/arrivalsoak_test.go
@@ -73,6 +73,7 @@
 		s.config["limits"].(object)["memory_mb"] = 40
 	}
 	for _, server := range s.servers {
+		server.keepsNoBody = true
 		wait := time.Duration(10+s.random.IntN(150)) * time.Millisecond
 		server.setAnswer(func(a upstreamAttempt) string { time.Sleep(wait); return ok(a) })
 	}
--- a/cmd/dunestep/server_test.go
+++ b/cmd/dunestep/server_test.go
@@ -47,6 +47,7 @@
 	answer      func(upstreamAttempt) string
 	script      func(upstreamAttempt, net.Conn) bool // used instead of answer if not nil; false: the connection is closed
 	received    []upstreamAttempt
+	keepsNoBody bool          // the bodies of received attempts are dropped: many long ones would fill the memory
 	openConns   int           // currently open
 	openedConns int           // since the start
 	idleTimeout time.Duration // a request on a connection idle for longer is dropped and the connection closed; zero: no limit
@@ -133,7 +134,10 @@
 		c.Close()
 		return
 	}
-	attempt := upstreamAttempt{r, string(body), conn.number, s.id, time.Now()}
+	attempt := upstreamAttempt{Request: r, connNumber: conn.number, server: s.id, receivedAt: time.Now()}
+	if !s.keepsNoBody {
+		attempt.body = string(body)
+	}
 	s.mu.Lock()
 	s.received = append(s.received, attempt)
 	answer, script := s.answer, s.script
