Arrival soak: its comments claim no more than it checks

Cause: the comment said that no attempt passes on more time than its client has left; the check bounds it by the client's whole time.

--- a/cmd/dunestep/arrivalsoak_test.go
+++ b/cmd/dunestep/arrivalsoak_test.go
@@ -44,7 +44,7 @@
 // In any of these runs endpoints stop reading for a while, and clients send long bodies, at once or in pieces, or send many
 // requests at once and leave. Each request that the agent's machine has taken gets its final answer in time, whatever the
 // endpoints take; none that was rejected has run; no attempt begins for a client that has left, and none passes on more
-// time than its client has left. At the end the agent is told to end, in every other run while endpoints are stopped.
+// time than its client had at its last byte. At the end the agent is told to end, in every other run while endpoints are stopped.
 func TestArrivalSoak(t *testing.T) { // not in parallel with others, whose bounds are in real time
 	seeds := shortArrivalSoak
 	if text := os.Getenv(arrivalSoakSeedsEnv); text != "" {
@@ -250,7 +250,8 @@
 	return false
 }
 
-// checkAnnounced returns an error if an attempt passed on more time than its client had, counted from its last byte.
+// checkAnnounced returns an error if an attempt passed on more time than its client had at its last byte. That an
+// attempt which begins later passes on less is checked by TestTimeAnnouncedWithBodySentBeforeItsAttempt.
 func (s *arrivalSoak) checkAnnounced() error {
 	timeLeft := map[string]time.Duration{}
 	for _, r := range s.long {
