Fault injection by seccomp runs on arm64 as on amd64

Filters kill calls of a foreign architecture, whose numbers mean something else. A number that is not in the table is refused by name of the platform; a machine that refuses filters or their listener has these tests skipped with the kernel's reason in one line.

--- a/cmd/dunestep/confined_linux_amd64_test.go
+++ b/cmd/dunestep/confined_linux_test.go
@@ -34,11 +34,19 @@
 	return build("linked", "-ldflags=-linkmode=external")
 })
 
+// requireFilters skips the test where the machine allows no system call filter.
+func requireFilters(t *testing.T) {
+	if refusal := standin.FilterRefusal(); refusal != nil {
+		t.Skip("programs cannot be confined on this machine:", refusal)
+	}
+}
+
 // The operators' bench loads a library of its own into the agent, so that the binary must be linked against the C library.
 // It refuses system calls that start other programs or move data without passing through the process. Here, such a call
 // ends the agent. The agent must make none: for short and long answers, request and response bodies, endpoint list
 // updates, a reload, datagrams and its exit.
 func TestConfined(t *testing.T) {
+	requireFilters(t)
 	program, err := externallyLinkedBinary()
 	require.NoError(t, err)
 	file, err := elf.Open(program)
@@ -68,6 +76,7 @@
 
 // The confinement that TestConfined relies on kills a program that starts another one.
 func TestConfinementKillsProgramThatStartsAnother(t *testing.T) {
+	requireFilters(t)
 	t.Parallel()
 	for script, killed := range map[string]bool{"exit 0": false, "/bin/true; exit 0": true} {
 		c := exec.Command(os.Args[0], "-c", script)
--- a/cmd/dunestep/diskfaults_linux_amd64_test.go
+++ b/cmd/dunestep/diskfaults_linux_test.go
@@ -14,18 +14,13 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
-)
 
-// fileCalls are the system calls that write files, and not sockets; writeCalls those that do so for some descriptors or
-// flags only.
-var (
-	fileCalls = []uint32{
-		unix.SYS_PWRITE64, unix.SYS_FSYNC, unix.SYS_FDATASYNC, unix.SYS_RENAMEAT, unix.SYS_RENAMEAT2, unix.SYS_FTRUNCATE,
-		unix.SYS_MKDIRAT, unix.SYS_MKDIR, unix.SYS_RENAME, unix.SYS_LINKAT, unix.SYS_FALLOCATE,
-	}
-	writeCalls = []uint32{unix.SYS_OPENAT, unix.SYS_WRITE}
+	"dunestep/internal/standin"
 )
 
+// writeCalls are the system calls that write files for some descriptors or flags only.
+var writeCalls = []uint32{unix.SYS_OPENAT, unix.SYS_WRITE}
+
 // writesFile reports whether a system call of the program writes files, or creates one.
 func (w *testbed) writesFile(call uint32, args [6]uint64) bool {
 	switch call {
@@ -53,7 +48,7 @@
 			w.opsAddr = uniqueAddr(t)
 			w.operatorFile = "[state]\nfolder = \"" + folder + "\"\nwrites_a_minute = 60\nperiod_s = 1\n"
 			w.tempDir = shortTempDir(t)
-			useSyscallFaults(w, slices.Concat(fileCalls, writeCalls)...)
+			useSyscallFaults(w, slices.Concat(standin.FileCalls(), writeCalls)...)
 			var isBroken atomic.Bool
 			isBroken.Store(true)
 			w.syscallFaults.Set(func(call uint32, args [6]uint64) syscall.Errno {
@@ -107,7 +102,9 @@
 		{unix.SYS_OPENAT, unix.EIO},
 		{unix.SYS_READ, unix.EIO},
 	} {
-		t.Run(fmt.Sprint(c.call, c.errno), func(t *testing.T) {
+		name, err := standin.SystemCallName(c.call)
+		require.NoError(t, err)
+		t.Run(fmt.Sprint(name, c.errno), func(t *testing.T) {
 			w := newTestbed(t, 1)
 			useSyscallFaults(w, unix.SYS_OPENAT, unix.SYS_READ)
 			w.start()
--- a/cmd/dunestep/syscallfaults_linux_amd64_test.go
+++ b/cmd/dunestep/syscallfaults_linux_test.go
@@ -25,8 +25,12 @@
 	}
 }
 
-// useSyscallFaults makes w run the program so that these system calls can fail.
+// useSyscallFaults makes w run the program so that these system calls can fail. It skips the test where the machine
+// does not allow that.
 func useSyscallFaults(w *testbed, calls ...uint32) {
+	if refusal := standin.ListenerRefusal(); refusal != nil {
+		w.t.Skip("system calls cannot be made to fail on this machine:", refusal)
+	}
 	program, err := plainBinary()
 	require.NoError(w.t, err)
 	faults, env, err := standin.NewSyscallFaults(program, calls...)
--- a/internal/standin/syscallfaults_linux_amd64.go
+++ b/internal/standin/syscallfaults_linux.go
@@ -38,6 +38,11 @@
 // becomes the program by ExecWithSyscallFaults. The process must be started with File as its first extra
 // file.
 func NewSyscallFaults(program string, calls ...uint32) (f *SyscallFaults, env []string, err error) {
+	for _, call := range calls {
+		if _, err := SystemCallName(call); err != nil {
+			return nil, nil, err
+		}
+	}
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, nil, fmt.Errorf("socket pair: %w", err)
@@ -108,14 +113,8 @@
 	flags uint32
 }
 
-const (
-	receiveNotification  = 0xC0502100 // SECCOMP_IOCTL_NOTIF_RECV
-	sendNotification     = 0xC0182101 // SECCOMP_IOCTL_NOTIF_SEND
-	newListenerFlag      = 1 << 3     // SECCOMP_FILTER_FLAG_NEW_LISTENER
-	continueCall         = 1          // SECCOMP_USER_NOTIF_FLAG_CONTINUE
-	retUserNotification  = 0x7fc00000 // SECCOMP_RET_USER_NOTIF
-	notificationPollTime = 100        // milliseconds
-)
+// notificationPollTime is how long the wait for one notification may last, in milliseconds.
+const notificationPollTime = 100
 
 // serve decides the reported calls until the program has ended.
 func (f *SyscallFaults) serve(own *os.File) {
@@ -143,12 +142,12 @@
 // decideOne receives one call and answers it.
 func (f *SyscallFaults) decideOne(listener int) {
 	var call notification
-	if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(listener), receiveNotification,
+	if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(listener), unix.SECCOMP_IOCTL_NOTIF_RECV,
 		uintptr(unsafe.Pointer(&call))); errno != 0 {
 		return // the caller was interrupted, and repeats the call
 	}
 	response := f.responseTo(&call)
-	_, _, _ = unix.Syscall(unix.SYS_IOCTL, uintptr(listener), sendNotification,
+	_, _, _ = unix.Syscall(unix.SYS_IOCTL, uintptr(listener), unix.SECCOMP_IOCTL_NOTIF_SEND,
 		uintptr(unsafe.Pointer(&response))) // fails only if the caller was interrupted
 }
 
@@ -164,11 +163,11 @@
 		}
 	}
 	if f.shorten == nil {
-		return notificationResponse{id: call.id, flags: continueCall}
+		return notificationResponse{id: call.id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 	}
 	limit := f.shorten(number, call.args)
 	if limit == 0 {
-		return notificationResponse{id: call.id, flags: continueCall}
+		return notificationResponse{id: call.id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 	}
 	f.failed++
 	n, err := transferShort(f.process, int(call.pid), number, call.args, limit)
@@ -215,15 +214,9 @@
 		calls = append(calls, call)
 		list = list[len(fmt.Sprint(call))+1:]
 	}
-	filter := notifyingFilter(calls)
-	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
-	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
-		return fmt.Errorf("setting no_new_privs: %w", err)
-	}
-	listener, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, newListenerFlag,
-		uintptr(unsafe.Pointer(&program)))
-	if errno != 0 {
-		return fmt.Errorf("installing the system call filter: %w", errno)
+	listener, err := installFilter(notifyingFilter(calls), unix.SECCOMP_FILTER_FLAG_NEW_LISTENER)
+	if err != nil {
+		return err
 	}
 	if err := unix.Sendmsg(syscallFaultsSocket, []byte{0}, unix.UnixRights(int(listener)), nil, 0); err != nil {
 		return fmt.Errorf("send listener: %w", err)
@@ -235,13 +228,10 @@
 }
 
 // notifyingFilter returns a filter that reports the calls to its listener.
-func notifyingFilter(calls []uint32) (f []unix.SockFilter) {
-	const number = 0 // offset of the call's number in the filter's input
-	f = append(f, unix.SockFilter{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: number})
+func notifyingFilter(calls []uint32) []unix.SockFilter {
+	f := append(killOtherArchitectures(), loadInput(callOffset))
 	for _, call := range calls {
-		f = append(f,
-			unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_K | unix.BPF_JEQ, K: call, Jf: 1},
-			unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: retUserNotification})
+		f = append(f, skipUnless(unix.BPF_JEQ, call, 1), returnAction(unix.SECCOMP_RET_USER_NOTIF))
 	}
-	return append(f, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_ALLOW})
+	return append(f, returnAction(unix.SECCOMP_RET_ALLOW))
 }
