--- a/internal/standin/seccomp_linux.go
+++ b/internal/standin/seccomp_linux.go
@@ -58,24 +58,24 @@
 // ListenerRefusal returns why this machine refuses a filter that reports system calls to a listener, on which
 // SyscallFaults relies; nil if it allows one.
 var ListenerRefusal = sync.OnceValue(func() error {
-	return onThreadOfItsOwn(func() error {
-		listener, err := installFilter([]unix.SockFilter{returnAction(unix.SECCOMP_RET_ALLOW)},
-			unix.SECCOMP_FILTER_FLAG_NEW_LISTENER)
-		if err != nil {
-			return err
-		}
-		return unix.Close(int(listener))
-	})
+	return refusalOf(unix.SECCOMP_FILTER_FLAG_NEW_LISTENER)
 })
 
-// FilterRefusal returns why this machine refuses a system call filter, on which ExecConfined relies; nil if it
-// allows one.
-var FilterRefusal = sync.OnceValue(func() error {
+// FilterRefusal returns why this machine refuses a system call filter, on which ExecConfined relies; nil if
+// it allows one.
+var FilterRefusal = sync.OnceValue(func() error { return refusalOf(0) })
+
+// refusalOf returns why this machine refuses a filter with these flags; nil if it allows one.
+func refusalOf(flags uintptr) error {
+	allowAll := []unix.SockFilter{returnAction(unix.SECCOMP_RET_ALLOW)}
 	return onThreadOfItsOwn(func() error {
-		_, err := installFilter([]unix.SockFilter{returnAction(unix.SECCOMP_RET_ALLOW)}, 0)
-		return err
+		result, err := installFilter(allowAll, flags)
+		if err != nil || flags&unix.SECCOMP_FILTER_FLAG_NEW_LISTENER == 0 {
+			return err
+		}
+		return unix.Close(int(result))
 	})
-})
+}
 
 // onThreadOfItsOwn calls f on a thread that ends after it.
 func onThreadOfItsOwn(f func() error) error {
