A body that can't be sent again never turns "may have run" into a refusal

The decisions ask for an attempt in the same zone; Router.maySend refuses it as the body is consumed, and it ends as NotSent. Router.finishAttempt looked at this last outcome alone (unprocessed) and answered Rejected, the promise that nothing has run. The decisions' own check (Balancer.mayReject) was not asked. Ruled out: the outcome of the first attempt, which reaches the decisions as ConnectionLost.

Change: both go by Class.AllowsRejectionAfter, the router over all attempts of the request. Else it answers Failed.

Measured: the new test, over all effects and scopes, fails for scopes zone and cell before, and passes now, as do the packages' tests.

--- a/internal/balancer/rejection.go
+++ b/internal/balancer/rejection.go
@@ -48,12 +48,9 @@
 // mayReject reports whether the client can safely repeat the request: each attempt so far was unprocessed, or
 // repeating it does no harm.
 func (b *Balancer) mayReject(r *request) bool {
-	c := r.class
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		isDeduplicated := c.Idempotency == IdempotentWithKey && c.DedupScope == DedupScopeAll &&
-			b.now-a.outlier.StartedAt < c.DedupWindow
-		if !a.unprocessed && c.Idempotency != Idempotent && !isDeduplicated {
+		if !a.unprocessed && !r.class.AllowsRejectionAfter(b.now-a.outlier.StartedAt) {
 			return false
 		}
 	}
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -48,6 +48,19 @@
 	Streaming        bool          // the server works until the end of the response
 }
 
+// AllowsRejectionAfter reports whether a request of the class may be rejected although an attempt that began
+// this long ago may have been processed: a repeat by the client then does no harm.
+func (c *Class) AllowsRejectionAfter(age time.Duration) bool {
+	switch c.Idempotency {
+	case Idempotent:
+		return true
+	case IdempotentWithKey: // the client's repeat may reach any server
+		return c.DedupScope == DedupScopeAll && age < c.DedupWindow
+	default:
+		return false
+	}
+}
+
 // Tenant is a customer with a quota over all balancers together.
 type Tenant struct {
 	Name           string
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -56,7 +56,9 @@
 		}
 	}
 	number := len(req.attempts)
-	req.attempts = append(req.attempts, attemptState{endpoint: act.Server, timeoutAfterBody: afterBody})
+	req.attempts = append(req.attempts, attemptState{
+		endpoint: act.Server, timeoutAfterBody: afterBody, startedAt: now,
+	})
 	req.openAttempts++
 	if !r.maySend(req, act.Server) || until <= now || number >= r.maxAttempts {
 		r.notStarted = append(r.notStarted, notStarted{req, number})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -70,6 +70,7 @@
 type requestState struct {
 	id               uint32
 	correlationID    string
+	class            balancer.Class
 	deadline         time.Duration // of the final response
 	streaming        bool          // responses are forwarded from the first byte on
 	answered         bool          // the final response was given, or the client has left
@@ -83,7 +84,9 @@
 // attemptState is one attempt of a request.
 type attemptState struct {
 	endpoint         string
-	running          bool          // started and not ended
+	running          bool // started and not ended
+	startedAt        time.Duration
+	unprocessed      bool          // ended, and cannot have been processed
 	timeoutAfterBody time.Duration // timeout counted from the last byte of the request's body
 }
 
@@ -129,7 +132,7 @@
 		req.clientTimeLeft, req.deadline = in.TimeLeft, now+MaxBodyTime
 	}
 	class, known := r.classes[in.Class]
-	req.streaming = class.Streaming
+	req.class, req.streaming = class, class.Streaming
 	_, inUse := r.correlationIDs[in.CorrelationID]
 	switch {
 	case inUse: // if forwarded, it could be processed twice
@@ -231,12 +234,13 @@
 		Latency: latency, Evidence: evidence,
 	}
 	req.openAttempts--
+	req.attempts[attempt].unprocessed = outcome.Unprocessed()
 	canNotRetry := req.bodyConsumed && outcome.Unprocessed() && req.openAttempts == 0
 	switch {
 	case outcome == balancer.Served && !req.answered:
 		r.respond(req, Output{Result: protocol.Served, Attempt: attempt})
 	case canNotRetry && !req.answered:
-		r.respond(req, Output{Result: protocol.Rejected, Text: RejectedText, Cause: "body consumed"})
+		r.respondWithoutBody(now, req)
 	default:
 		r.forgetIfDone(req)
 	}
@@ -244,6 +248,26 @@
 	r.decide(now, &r.attemptDone)
 }
 
+// respondWithoutBody responds to a request none of whose attempts is open, and whose body can't be sent again.
+func (r *Router) respondWithoutBody(now time.Duration, req *requestState) {
+	response := Output{Result: protocol.Rejected, Text: RejectedText, Cause: "body consumed"}
+	if !req.mayReject(now) {
+		response.Result, response.Text = protocol.Failed, FailedText
+	}
+	r.respond(req, response)
+}
+
+// mayReject reports whether the client can safely repeat the request: each attempt was unprocessed, or
+// repeating it does no harm.
+func (req *requestState) mayReject(now time.Duration) bool {
+	for _, a := range req.attempts {
+		if !a.unprocessed && !req.class.AllowsRejectionAfter(now-a.startedAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // runningAttempt returns the request of an attempt; nil: the attempt is not under way.
 func (r *Router) runningAttempt(id uint32, attempt int) *requestState {
 	req := r.requests[id]
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -190,18 +190,20 @@
 	}
 }
 
+// kinds returns the outputs of one kind.
+func kinds(out []Output, kind OutputKind) (found []Output) {
+	for _, o := range out {
+		if o.Kind == kind {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
 // The timeout of a request whose body is still being received counts from the body's last byte. A request of which a part is no
 // longer buffered is not sent again; if it was not processed, it is rejected at once.
 func TestRequestWithStreamedBody(t *testing.T) {
 	d := newSimulation(testSettings(), 2)
-	kinds := func(out []Output, kind OutputKind) (found []Output) {
-		for _, o := range out {
-			if o.Kind == kind {
-				found = append(found, o)
-			}
-		}
-		return found
-	}
 	arrive := func(id string) (uint32, Output) {
 		in := &protocol.Request{
 			CorrelationID: id, Class: notIdempotent, Length: -1, TimeLeft: 900 * time.Millisecond,
@@ -232,6 +234,51 @@
 	require.Empty(t, d.router.BodyComplete(d.now, d.now, n), "the request is forgotten")
 }
 
+// A body that has been passed on can't be sent again. Its request is rejected only where no attempt may have been processed, or a
+// repeat by the client does no harm; else it has failed. The first attempt is written whole, and its connection breaks.
+func TestBodyConsumedAfterAttemptThatMayHaveBeenProcessed(t *testing.T) {
+	dedup := func(scope balancer.DedupScope, window time.Duration) balancer.Class {
+		return balancer.Class{
+			Name: "dedup", LatencyObjective: objective, Deadline: time.Second, PriorityWeight: 1,
+			Idempotency: balancer.IdempotentWithKey, DedupScope: scope, DedupWindow: window,
+		}
+	}
+	for name, c := range map[string]struct {
+		class balancer.Class
+		phase AttemptPhase
+		want  protocol.ResponseKind
+	}{
+		"not written": {dedup(balancer.DedupScopeZone, time.Second), Writing, protocol.Rejected},
+		"zone":        {dedup(balancer.DedupScopeZone, time.Second), AwaitingResponse, protocol.Failed},
+		"cell":        {dedup(balancer.DedupScopeCell, time.Second), AwaitingResponse, protocol.Failed},
+		"all":         {dedup(balancer.DedupScopeAll, time.Second), AwaitingResponse, protocol.Rejected},
+		"all, after the window": {
+			dedup(balancer.DedupScopeAll, 50*time.Millisecond), AwaitingResponse, protocol.Failed,
+		},
+		"idempotent":     {testSettings().Classes[0], AwaitingResponse, protocol.Rejected},
+		"not idempotent": {testSettings().Classes[1], AwaitingResponse, protocol.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := testSettings()
+			set.Classes = []balancer.Class{c.class}
+			d := newSimulation(set, 3)
+			n, out := d.router.RequestArrived(d.now, &protocol.Request{
+				CorrelationID: "a", Class: c.class.Name, Length: 192 << 10, TimeLeft: 900 * time.Millisecond,
+				Rest: bodystream.New(-1, bytebudget.Grant{}, 0), BodyComplete: make(chan time.Time),
+			}, d.now)
+			require.Len(t, kinds(out, StartAttempt), 1)
+			d.now += 60 * time.Millisecond
+			out = d.router.AttemptEnded(d.now, n, 0, AttemptResult{
+				Phase: c.phase, EndReason: BrokenByEndpoint, BodyConsumed: true,
+			})
+			require.Empty(t, kinds(out, StartAttempt))
+			responses := kinds(out, Respond)
+			require.Len(t, responses, 1)
+			require.Equal(t, c.want, responses[0].Result)
+		})
+	}
+}
+
 // BenchmarkRequest runs one request through Router and Pool, with the module: arrival, attempt, reuse of a connection, response.
 func BenchmarkRequest(b *testing.B) {
 	d := newSimulation(testSettings(), 0)
