A streamed response that breaks begins at its client before it ends

Cause: the head and the first bytes of a streamed response are in net/http's buffer of 4 KiB, which is flushed once nothing more is ready to be read.

Change: what came is flushed before the connection is aborted, unless the client is gone.

--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -206,6 +206,52 @@
 	require.Eventually(t, func() bool { return bodies.Memory.Reserved() == 0 }, 15*time.Second, time.Millisecond)
 }
 
+// Guards against a streamed response that breaks right after its first bytes and ends as a connection closed with none: the
+// client would send its request again. The response has broken before its first byte is written.
+func TestBrokenStreamedResponseBeginsBeforeItEnds(t *testing.T) {
+	const received = 2000 // less than net/http buffers
+	for name, c := range map[string]struct {
+		version string
+		length  int64
+		isAbort bool
+	}{
+		"no length":                   {"1.1", -1, false},
+		"length":                      {"1.1", 3 * received, false},
+		"HTTP/1.0, no length":         {"1.0", -1, false},
+		"given up with bytes unread":  {"1.1", -1, true},
+		"given up, length and unread": {"1.1", 3 * received, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodies := NewBodyLimits(1<<20, BodyRules{MaxBytes: 1 << 20, ClientStallTimeout: time.Minute})
+			dial := serveListener(t, func() protocol.Response {
+				grant, err := bodies.Memory.Reserve(context.Background(), bytebudget.Holder{Name: "s-0"}, bodystream.ChunkBytes)
+				require.NoError(t, err)
+				stream := bodystream.New(c.length, grant, bodystream.ChunkBytes)
+				_, err = stream.WriteBuffer()
+				require.NoError(t, err)
+				stream.CommitWrite(received)
+				if c.isAbort {
+					stream.Abort(io.ErrUnexpectedEOF)
+				}
+				stream.CloseWrite(io.ErrUnexpectedEOF)
+				return protocol.Response{BodyStream: stream, Streaming: true}
+			}, bodies, protocol.HTTP)
+			conn := dial()
+			_, err := io.WriteString(conn, "GET /consult/x HTTP/"+c.version+
+				"\r\nHost: x\r\nX-Correlation-Id: 0123456789abcdef\r\nX-Time-Left-Ms: 60000\r\n\r\n")
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "the client must get the beginning of a response")
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			n, err := io.Copy(io.Discard, resp.Body)
+			require.Error(t, err, "the response must not look complete")
+			if !c.isAbort {
+				require.EqualValues(t, received, n)
+			}
+		})
+	}
+}
+
 // A body may become complete when abandonBody is called. A complete body must not be cut off: its connection is read on,
 // so that net/http notices a client that disconnects. Reading an incomplete body must end at once.
 func TestAbandonBodyKeepsReadingAfterCompleteBody(t *testing.T) {
--- a/internal/transport/responsewriter.go
+++ b/internal/transport/responsewriter.go
@@ -16,8 +16,9 @@
 )
 
 // writeResponse writes a response, and counts how the request ended. ctx ends if the client closes the
-// connection. It aborts the connection if the response
-// can't be written completely: the part that was written could look complete.
+// connection. It aborts the connection if the response can't be written completely: the part that was written
+// could look complete. What came of it is written before: a client that gets no byte may take its request for
+// one that was never read.
 func (f *Listener) writeResponse(
 	ctx context.Context,
 	w http.ResponseWriter,
@@ -38,7 +39,10 @@
 	if response.BodyStream != nil {
 		defer response.BodyStream.CloseRead()
 		if err == nil {
-			err = out.copyBody(ctx, response.BodyStream)
+			if err = out.copyBody(ctx, response.BodyStream); err != nil && !out.isClientLost {
+				out.extendDeadline()
+				_ = out.flush()
+			}
 		}
 	}
 	requestMetrics.End(outcomeOf(response.Kind, err, out.isClientLost || ctx.Err() != nil))
