A response waits for its request's last write, not for 20 ms

Change: streamedWrite sets isEnding before the last bytes are handed to the system. A response before that is early, at once. After it the result of the write is waited for, as long as the system takes bytes: a server that has the whole request has acknowledged it, which makes room. The attempt's end ends the wait, by closing the connection.

The test of servers that answer early waited for memory that the 20 ms kept reserved; it now takes the close of the connection for a sign that the answer was read as well.

--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -46,11 +46,24 @@
 // isClosedByPeer reports whether a socket's peer has closed or reset the connection. Bytes that it sent
 // before may be unread: they hide the end from a reader, but not from the system.
 func isClosedByPeer(fd uintptr) bool {
-	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	events, err := pollNow(fd, unix.POLLRDHUP)
+	return err == nil && events&closedEvents != 0
+}
+
+// isWritableSocket reports whether a socket takes bytes now, or has failed. Where the system does not tell, it
+// does.
+func isWritableSocket(fd uintptr) bool {
+	events, err := pollNow(fd, unix.POLLOUT)
+	return err != nil || events != 0
+}
+
+// pollNow returns which of some events, and of those of a failed socket, are there now.
+func pollNow(fd uintptr, wanted int16) (events int16, err error) {
+	sockets := []unix.PollFd{{Fd: int32(fd), Events: wanted}}
 	for {
-		_, err := unix.Poll(sockets, 0)
+		_, err = unix.Poll(sockets, 0)
 		if !errors.Is(err, syscall.EINTR) {
-			return err == nil && sockets[0].Revents&closedEvents != 0
+			return sockets[0].Revents, err
 		}
 	}
 }
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"dunestep/internal/balancer"
 	"dunestep/internal/bodystream"
 	"dunestep/internal/protocol"
 )
@@ -243,56 +242,17 @@
 		return nil, true, connWriter{u.conn}.writeBuffers(net.Buffers{request.Head, request.Body})
 	}
 	defer context.AfterFunc(request.ctx, func() { request.Rest.Abort(bodystream.ErrAbandoned) })()
-	wrote := make(chan error, 1)
-	go func() { wrote <- u.writeStreamed(request) }()
+	w := newStreamedWrite(u, request)
+	go w.run()
 	select {
-	case err := <-wrote:
+	case err := <-w.result:
 		return nil, true, err
 	case event := <-u.responses:
-		early, isWritten := u.resolveEarlyResponse(request, event, wrote)
+		early, isWritten := w.resolveEarlyResponse(event)
 		return early, isWritten, nil
 	}
 }
 
-// earlyResponseWait is how long resolveEarlyResponse waits for the result of the write.
-const earlyResponseWait = 20 * time.Millisecond
-
-// resolveEarlyResponse handles a response that arrived while its request was being written, and reports
-// whether the request was written completely, which may be known late. The response is not put back into
-// the channel: its end may be there already, and nothing would receive either.
-func (u *UpstreamConn) resolveEarlyResponse(request *UpstreamRequest, event responseEvent,
-	wrote <-chan error,
-) (
-	early *responseEvent, isWritten bool,
-) {
-	timeout := time.NewTimer(earlyResponseWait)
-	defer timeout.Stop()
-	select {
-	case err := <-wrote:
-		if err == nil {
-			return &event, true
-		}
-	case <-timeout.C:
-		request.Rest.Abort(bodystream.ErrAbandoned)
-		u.Close()
-		if err := <-wrote; err == nil { // the request may have been executed, whatever happens to the response
-			event.Close = true
-			return &event, true
-		}
-	}
-	if event.isStart {
-		event.BodyStream.CloseRead()
-		event = <-u.responses
-	}
-	if event.err == nil && event.Outcome == balancer.Rejected { // the only response valid this early
-		return &event, false
-	}
-	if event.BodyStream != nil {
-		event.BodyStream.CloseRead()
-	}
-	return &responseEvent{err: errors.Join(ErrNotWritten, ErrInvalidResponse, event.err)}, false
-}
-
 // discardResponse receives the response to a request that was not written completely: a server may respond
 // before it has read everything, and the memory of that response must be released.
 func (u *UpstreamConn) discardResponse() {
--- a/internal/transport/upstream_test.go
+++ b/internal/transport/upstream_test.go
@@ -235,11 +235,11 @@
 func TestEarlyResponseStartAndEndAreReceived(t *testing.T) {
 	u := &UpstreamConn{responses: make(chan responseEvent, 1)}
 	u.responses <- responseEvent{} // end of the response
-	wrote := make(chan error, 1)
-	wrote <- nil
+	write := newStreamedWrite(u, &UpstreamRequest{})
+	write.result <- nil
 	ended := make(chan bool, 1)
 	go func() {
-		early, isWritten := u.resolveEarlyResponse(&UpstreamRequest{}, responseEvent{isStart: true}, wrote)
+		early, isWritten := write.resolveEarlyResponse(responseEvent{isStart: true})
 		ended <- isWritten && early.isStart && !(<-u.responses).isStart
 	}()
 	select {
--- a/internal/transport/upstreamraces_test.go
+++ b/internal/transport/upstreamraces_test.go
@@ -237,18 +237,65 @@
 // was written completely may have been executed, and must not be reported as not written.
 func TestEarlyResponseWithLateWriteResult(t *testing.T) {
 	u, _, _ := tcpPair(t)
-	wrote := make(chan error, 1)
 	rest := bodystream.New(-1, bytebudget.Grant{}, 0)
+	write := newStreamedWrite(u, &UpstreamRequest{Rest: rest})
 	go func() {
-		_, _ = rest.ReadBuffer() // blocks until the stream is aborted after the wait
-		wrote <- nil
+		_, _ = rest.ReadBuffer() // blocks until the stream is aborted
+		write.result <- nil
 	}()
-	early, isWritten := u.resolveEarlyResponse(&UpstreamRequest{Rest: rest}, responseEvent{UpstreamResponse: protocol.UpstreamResponse{Outcome: balancer.Served}}, wrote)
+	early, isWritten := write.resolveEarlyResponse(responseEvent{UpstreamResponse: protocol.UpstreamResponse{Outcome: balancer.Served}})
 	require.True(t, isWritten, "the request may have been executed")
 	require.NoError(t, early.err)
 	require.True(t, early.Close, "its connection must be closed")
 }
 
+// A response waits for the result of a write that is ending, however late the write's goroutine is scheduled: it is neither cut
+// off nor taken for one that came too early. Only where the system takes no more bytes, or bytes are missing, is it early.
+func TestResponseWaitsForWriteThatIsEnding(t *testing.T) {
+	response := responseEvent{UpstreamResponse: protocol.UpstreamResponse{Outcome: balancer.Served}}
+	t.Run("written, and not known yet", func(t *testing.T) {
+		u, _, _ := tcpPair(t)
+		write := newStreamedWrite(u, &UpstreamRequest{Rest: bodystream.New(-1, bytebudget.Grant{}, 0)})
+		write.isEnding.Store(true)
+		resolved := make(chan responseEvent)
+		go func() {
+			early, isWritten := write.resolveEarlyResponse(response)
+			assert.True(t, isWritten)
+			resolved <- *early
+		}()
+		select {
+		case <-resolved:
+			require.Fail(t, "the result of the write is not known")
+		case <-time.After(20 * writableCheckInterval): // many checks
+		}
+		write.result <- nil
+		early := <-resolved
+		require.NoError(t, early.err)
+		require.False(t, early.Close)
+		require.False(t, u.HasEnded())
+		require.NoError(t, u.conn.SetDeadline(time.Time{}), "the connection must be open")
+	})
+	t.Run("the system takes no more", func(t *testing.T) {
+		u, _, _ := tcpPair(t) // nobody reads
+		rest := bodystream.New(-1, bytebudget.Grant{}, 0)
+		write := newStreamedWrite(u, &UpstreamRequest{Rest: rest})
+		write.isEnding.Store(true)
+		go func() {
+			_, err := io.Copy(u.conn, zeros{})
+			write.result <- err
+		}()
+		require.Eventually(t, func() bool { return !u.isWritable() }, 15*time.Second, time.Millisecond)
+		early, isWritten := write.resolveEarlyResponse(response)
+		require.False(t, isWritten)
+		require.ErrorIs(t, early.err, ErrNotWritten)
+	})
+}
+
+// zeros is an endless input.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
 // An upstream server ends the connection during an upload, or responds before it has received everything. The request was
 // not executed, so that it may be retried if no part of it was discarded. Of early responses, only a rejection is used.
 func TestServerEndsConnectionDuringUpload(t *testing.T) {
@@ -281,8 +328,8 @@
 				_, _ = io.ReadFull(r.Body, make([]byte, 2))
 				_, _ = io.WriteString(server, c.answer)
 				if c.ends {
-					if c.answer != "" { // wait until it is read
-						for bodies.Memory.Reserved() < 5 {
+					if c.answer != "" { // wait until it is read, upon which the connection may be closed at once
+						for bodies.Memory.Reserved() < 5 && !isEnded(server) {
 							time.Sleep(time.Millisecond)
 						}
 					}
@@ -308,6 +355,16 @@
 	}
 }
 
+// isEnded reports whether a connection's peer has closed it.
+func isEnded(c *net.TCPConn) (isEnded bool) {
+	rawConn, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = rawConn.Control(func(fd uintptr) { isEnded = isClosedByPeer(fd) })
+	return err != nil || isEnded
+}
+
 // Guards against a request that is reported as not written, and so as not executed, although the server has all of it: the
 // attempt is given up after the last byte of a body of known length was written, before the end of the stream is known.
 func TestBodyWrittenToItsLastByteCountsAsWritten(t *testing.T) {
