Requests whose end two readers could see differently are refused before either

Change: headScanner and chunkScanner read what says where a request ends, strictly: no folded lines, bare CR, white space before a colon, length that is not one number, encoding but chunked alone, both. From the byte that is wrong nothing is passed on, and the read fails once the requests before are answered, upon which net/http answers 400 and closes. Each request's framing is compared with net/http's before it is handled. Requests in chunks no longer close their connection.

--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -50,8 +50,8 @@
 	return err == nil && events&closedEvents != 0
 }
 
-// isWritableSocket reports whether a socket takes bytes now, or has failed. Where the system does not tell, it
-// does.
+// isWritableSocket reports whether a socket takes bytes now, or has failed. Where the system does not tell,
+// it does.
 func isWritableSocket(fd uintptr) bool {
 	events, err := pollNow(fd, unix.POLLOUT)
 	return err != nil || events != 0
--- a/internal/transport/bodyarrival.go
+++ b/internal/transport/bodyarrival.go
@@ -34,10 +34,11 @@
 	if isKnown {
 		arrival.HasUnread = unread > 0
 	}
+	current := c.framing.current()
 	switch {
-	case len(c.framing.completedAt) > 0:
-		arrival.State, arrival.SinceArrival = routing.BodyArrived, now.Sub(c.framing.completedAt[0])
-	case c.framing.bodyFraming != framedByLength || !isKnown:
+	case current != nil && current.isComplete:
+		arrival.State, arrival.SinceArrival = routing.BodyArrived, now.Sub(current.completedAt)
+	case current == nil || current.isChunked || !isKnown: // unread chunks are not parsed
 		arrival.State = routing.BodyUnknown
 	case unread >= c.framing.bodyLeft:
 		arrival.State = routing.BodyArrived
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -89,17 +90,37 @@
 }
 
 // Read parses the framing of the bytes that it returns. In connClosing it returns no more bytes: a request
-// that crosses the close counts as never read, and its client may send it again.
+// that crosses the close counts as never read, and its client may send it again. From where the input turns
+// out to be malformed it returns nothing, and fails once all requests before are answered.
 func (c *downstreamConn) Read(b []byte) (int, error) {
-	isBacklog := c.hasPendingBacklog()
+	for {
+		if err := c.refusal(); err != nil {
+			return 0, err
+		}
+		isBacklog := c.hasPendingBacklog()
+		n, err := c.readInput(b)
+		if n == 0 {
+			return 0, err
+		}
+		passed, err := c.recordInput(b[:n], arrival{isBacklog: isBacklog, isAll: n < len(b)})
+		if passed > 0 || err != nil {
+			return passed, err
+		}
+	}
+}
+
+// readInput reads what the client has sent, also where it arrived before a deadline that is over.
+func (c *downstreamConn) readInput(b []byte) (int, error) {
 	n, err := readConn(c.Conn, b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) &&
 		(c.isBodyCompleteDespiteAbandon() || !c.isReadTimeoutFinal() || c.hasTimelyInput()) {
 		n, err = readConn(c.Conn, b)
 	}
-	if n == 0 {
-		return n, err
-	}
+	return n, err
+}
+
+// recordInput records bytes that were read, and returns how many of them may be passed on.
+func (c *downstreamConn) recordInput(b []byte, a arrival) (passed int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
@@ -110,9 +131,15 @@
 	case connBusy: // from here on, unread bytes can hide the client's close from net/http
 		c.startCloseWatch()
 	}
-	c.recordArrival(arrival{isBacklog: isBacklog, isAll: n < len(b)})
-	c.framing.advance(b[:n], c.receivedAt)
-	return n, err
+	c.recordArrival(a)
+	return c.framing.advance(b, c.receivedAt), nil
+}
+
+// refusal returns why the client's input is not read any more; nil if it is.
+func (c *downstreamConn) refusal() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.refusal()
 }
 
 // SetReadDeadline sets when a Read times out.
@@ -196,8 +223,8 @@
 }
 
 // startRequest records that a request's header was read. It returns the deadline for the request's last byte,
-// and how its body is framed.
-func (c *downstreamConn) startRequest() (deadline time.Time, framing bodyFraming) {
+// and whether net/http reads the same framing of the body.
+func (c *downstreamConn) startRequest(r *http.Request) (deadline time.Time, isFramingClear bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHeaderRead = true
@@ -206,7 +233,7 @@
 	if first := c.acceptedAt.Add(requestTimeout); c.framing.headersStarted <= 1 && first.Before(deadline) {
 		deadline = first
 	}
-	return deadline, c.framing.bodyFraming
+	return deadline, c.framing.current().matches(r)
 }
 
 // pauseReading records that this agent stops reading for now. A request that makes no progress for that
@@ -262,8 +289,7 @@
 func (c *downstreamConn) isBodyCompleteDespiteAbandon() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isBodyAbandoned || c.closesUnlessInput || c.framing.bodyFraming != framedByLength ||
-		c.framing.bodyLeft > 0 {
+	if !c.isBodyAbandoned || c.closesUnlessInput || c.framing.isInBody() {
 		return false
 	}
 	return c.SetReadDeadline(time.Time{}) == nil
@@ -275,8 +301,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	receivedAt = c.receivedAt
-	if len(c.framing.completedAt) > 0 {
-		receivedAt = c.framing.completedAt[0]
+	if current := c.framing.current(); current != nil && current.isComplete {
+		receivedAt = current.completedAt
 	}
 	c.setState(connBusy)
 	return receivedAt
@@ -297,7 +323,7 @@
 func (c *downstreamConn) hasNextRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.hasReadNextRequest() || c.framing.bodyLeft == 0 && c.hasInput()
+	return c.hasReadNextRequest() || !c.framing.isInBody() && c.hasInput()
 }
 
 // hasReadNextRequest reports whether a part of the request after the current one was read. The caller holds
@@ -316,9 +342,7 @@
 func (c *downstreamConn) responseWritten() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.framing.completedAt) > 0 {
-		c.framing.completedAt = append(c.framing.completedAt[:0], c.framing.completedAt[1:]...)
-	}
+	c.framing.answered()
 	if c.hasReadNextRequest() {
 		c.hasBacklog, c.backlogReadAt = true, c.receivedAt
 		c.setState(connReading)
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -1,119 +1,138 @@
 package transport
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
-// bodyFraming is how the ends of request bodies on a connection are marked so far.
-type bodyFraming uint8
+// requestFrame is how one request of a connection is framed.
+type requestFrame struct {
+	length      int64 // of the body, unless isChunked
+	isChunked   bool
+	isComplete  bool
+	completedAt time.Time // when the last byte arrived, if isComplete
+}
 
-const (
-	framedByLength bodyFraming = iota
-	framedByChunks             // the rest is not parsed: the connection is closed after this request
-	framedByBoth               // both Content-Length and Transfer-Encoding: must not be forwarded
-)
+// matches reports whether net/http has read a request with the same framing. If it has not, the two would
+// disagree about where the next request begins.
+func (f *requestFrame) matches(r *http.Request) bool {
+	if f == nil {
+		return false
+	}
+	if f.isChunked {
+		return len(r.TransferEncoding) == 1
+	}
+	return len(r.TransferEncoding) == 0 && f.length == r.ContentLength
+}
+
+// framingPhase is what the next byte of a connection belongs to.
+type framingPhase uint8
 
 const (
-	contentLengthName    = "content-length"
-	transferEncodingName = "transfer-encoding"
-	maxContentLength     = 1 << 40 // bytes; larger values are truncated here, and the body is rejected elsewhere
+	betweenRequests framingPhase = iota
+	inHeader
+	inBodyOfLength
+	inChunkedBody
 )
 
-// requestFraming finds where requests begin and end in a client's input. A request with both Content-Length
-// and Transfer-Encoding may hide another one in its body (request smuggling), and net/http drops the
-// length, so that a handler can't detect it. The zero value is ready for use.
+// requestFraming finds where requests begin and end in a client's input, and refuses requests whose end
+// readers could disagree about: a part of such a request could be taken for another one (request smuggling).
+// Nothing after the place where a request turns out to be malformed may be passed on. The zero value is ready
+// for use.
 type requestFraming struct {
-	headerName          [18]byte // beginning of the current line, in lower case
-	lineLength          int      // bytes of the current line so far, at most len(headerName)+1
-	isInValue           bool     // past the first colon of the line
-	contentLength       int64
-	hasContentLength    bool // whether the current header has the field; likewise below
-	hasTransferEncoding bool
-	bodyLeft            int64 // bytes of the current body not received yet
-	headersStarted      int   // requests so far
-	isInHeader          bool
-	bodyFraming         bodyFraming
-	completedAt         []time.Time // times at which requests became complete that are not answered yet
+	phase          framingPhase
+	header         headScanner
+	chunks         chunkScanner
+	bodyLeft       int64          // bytes of the current body not received yet, in inBodyOfLength
+	headersStarted int            // requests so far
+	unanswered     []requestFrame // whose header is complete and whose response was not written, in order
+	malformed      error          // why the input is malformed; nil: it is not
 }
 
-// advance parses bytes that were received at the given time.
-func (f *requestFraming) advance(b []byte, at time.Time) {
-	for len(b) > 0 && f.bodyFraming == framedByLength {
-		if f.bodyLeft > 0 {
-			skipped := min(f.bodyLeft, int64(len(b)))
-			f.bodyLeft -= skipped
-			b = b[skipped:]
-			f.recordCompletion(at)
-			continue
+// advance parses bytes that were received at the given time, and returns how many of them may be passed on.
+func (f *requestFraming) advance(b []byte, at time.Time) (passed int) {
+	for passed < len(b) && f.malformed == nil {
+		n, isEnd, err := f.parse(b[passed:])
+		passed += n
+		f.malformed = err
+		if isEnd && err == nil {
+			f.endPhase(at)
 		}
-		if !f.isInHeader {
-			if b[0] == '\r' || b[0] == '\n' { // some clients send a line end after a body
-				b = b[1:]
-				continue
-			}
-			f.isInHeader = true
-			f.headersStarted++
-		}
-		f.consumeHeaderByte(b[0])
-		b = b[1:]
-		f.recordCompletion(at)
 	}
+	return passed
 }
 
-// recordCompletion records the time if the current request is complete.
-func (f *requestFraming) recordCompletion(at time.Time) {
-	if !f.isInHeader && f.bodyLeft == 0 && f.bodyFraming == framedByLength {
-		f.completedAt = append(f.completedAt, at)
+// parse parses bytes of the current phase, and reports whether they end it. It returns how many they are:
+// after an error, without the byte that is wrong.
+func (f *requestFraming) parse(b []byte) (n int, isEnd bool, err error) {
+	switch f.phase {
+	case betweenRequests:
+		if b[0] == '\r' || b[0] == '\n' { // some clients send a line end after a body
+			return 1, false, nil
+		}
+		f.phase, f.header = inHeader, headScanner{}
+		f.headersStarted++
+		fallthrough
+	case inHeader:
+		isEnd, err = f.header.consume(b[0])
+	case inBodyOfLength:
+		n = int(min(f.bodyLeft, int64(len(b))))
+		f.bodyLeft -= int64(n)
+		return n, f.bodyLeft == 0, nil
+	case inChunkedBody:
+		if n = f.chunks.skipData(b); n > 0 {
+			return n, false, nil
+		}
+		isEnd, err = f.chunks.consume(b[0])
+	}
+	if err != nil {
+		return 0, false, err
 	}
+	return 1, isEnd, nil
 }
 
-// consumeHeaderByte parses one byte of a header.
-func (f *requestFraming) consumeHeaderByte(c byte) {
-	switch {
-	case c == '\r':
-	case c == '\n' && f.lineLength == 0: // the empty line
-		f.finishHeader()
-	case c == '\n':
-		f.lineLength, f.isInValue = 0, false
-	case f.isInValue:
-		if c >= '0' && c <= '9' && f.headerNameIs(contentLengthName) && f.contentLength < maxContentLength {
-			f.contentLength = 10*f.contentLength + int64(c-'0')
-		}
-	case c == ':':
-		f.isInValue = true
-		if f.headerNameIs(contentLengthName) {
-			f.hasContentLength, f.contentLength = true, 0
+// endPhase proceeds to the request's body, or to the next request.
+func (f *requestFraming) endPhase(at time.Time) {
+	if f.phase == inHeader {
+		f.unanswered = append(f.unanswered, requestFrame{length: f.header.length, isChunked: f.header.isChunked})
+		switch {
+		case f.header.isChunked:
+			f.phase, f.chunks = inChunkedBody, chunkScanner{}
+			return
+		case f.header.length > 0:
+			f.phase, f.bodyLeft = inBodyOfLength, f.header.length
+			return
 		}
-		f.hasTransferEncoding = f.hasTransferEncoding || f.headerNameIs(transferEncodingName)
-		f.lineLength = max(f.lineLength, 1)
-	default:
-		if f.lineLength < len(f.headerName) {
-			if c >= 'A' && c <= 'Z' {
-				c += 'a' - 'A'
-			}
-			f.headerName[f.lineLength] = c
-		}
-		f.lineLength = min(f.lineLength+1, len(f.headerName)+1)
 	}
+	last := &f.unanswered[len(f.unanswered)-1]
+	last.isComplete, last.completedAt = true, at
+	f.phase = betweenRequests
 }
 
-// headerNameIs reports whether the field name of the current line is name. It ignores the white space that
-// malformed requests have before the colon.
-func (f *requestFraming) headerNameIs(name string) bool {
-	n := min(f.lineLength, len(f.headerName))
-	for n > 0 && (f.headerName[n-1] == ' ' || f.headerName[n-1] == '\t') {
-		n--
+// current returns the first request that is not answered; nil if there is none.
+func (f *requestFraming) current() *requestFrame {
+	if len(f.unanswered) == 0 {
+		return nil
 	}
-	return string(f.headerName[:n]) == name
+	return &f.unanswered[0]
+}
+
+// answered records that the response to the current request was written.
+func (f *requestFraming) answered() {
+	if len(f.unanswered) > 0 {
+		f.unanswered = append(f.unanswered[:0], f.unanswered[1:]...)
+	}
+}
+
+// isInBody reports whether a body is being received.
+func (f *requestFraming) isInBody() bool {
+	return f.phase == inBodyOfLength || f.phase == inChunkedBody
 }
 
-// finishHeader proceeds to the body, if there is one.
-func (f *requestFraming) finishHeader() {
-	switch {
-	case f.hasTransferEncoding && f.hasContentLength:
-		f.bodyFraming = framedByBoth
-	case f.hasTransferEncoding:
-		f.bodyFraming = framedByChunks
+// refusal returns why the input ends here; nil if it does not, or not before a complete request is answered.
+func (f *requestFraming) refusal() error {
+	if current := f.current(); current != nil && current.isComplete {
+		return nil
 	}
-	f.bodyLeft = f.contentLength
-	f.hasContentLength, f.hasTransferEncoding, f.isInHeader = false, false, false
-	f.contentLength, f.lineLength, f.isInValue = 0, 0, false
+	return f.malformed
 }
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -161,7 +161,7 @@
 func (f *Listener) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r)
 	x := newExchange(conn.formats, r)
-	deadline, framing := conn.startRequest()
+	deadline, isFramingClear := conn.startRequest(r)
 	control := http.NewResponseController(w)
 	isHealthCheck := r.URL.Path == "/health/ready" || r.URL.Path == "/health/live"
 	if isHealthCheck || r.ContentLength != 0 { // something may be written before writeResponse sets a deadline
@@ -170,12 +170,9 @@
 	if r.ContentLength != 0 {
 		_ = control.SetReadDeadline(deadline) // also applies when net/http reads an unused body
 	}
-	if framing != framedByLength {
-		w.Header().Set("Connection", "close") // the bytes that follow could be part of the body
-	}
 	switch {
-	case framing == framedByBoth:
-		response := protocol.Response{Kind: protocol.Malformed, Body: []byte("two lengths\n")}
+	case !isFramingClear: // the bytes that follow could be part of the body
+		response := protocol.Response{Kind: protocol.Malformed, Body: []byte("the body's length is not clear\n")}
 		f.writeResponse(r.Context(), w, r, x, response, nil)
 	case r.URL.Path == "/health/ready":
 		f.announceClose(conn, w.Header())
--- a/internal/transport/listener_test.go
+++ b/internal/transport/listener_test.go
@@ -43,6 +43,11 @@
 
 // serveWithDescriptors is like serveListener, with a given number of descriptors.
 func serveWithDescriptors(t *testing.T, descriptors int, handler responseFunc, bodies *BodyLimits, formats ...protocol.Format) (dial func() net.Conn) {
+	return serveHandler(t, descriptors, handler, bodies, formats...)
+}
+
+// serveHandler is like serveWithDescriptors, for any handler.
+func serveHandler(t *testing.T, descriptors int, handler RequestHandler, bodies *BodyLimits, formats ...protocol.Format) (dial func() net.Conn) {
 	listener := NewListener(NewDescriptors(descriptors, func() {}), bodies, metrics.New(nil), handler)
 	require.NoError(t, listener.Listen(netip.MustParseAddrPort("127.0.0.1:0"), formats...))
 	served := make(chan struct{})
--- a/internal/transport/streamedwrite.go
+++ b/internal/transport/streamedwrite.go
@@ -34,8 +34,8 @@
 // run writes the request and reports the result.
 func (w *streamedWrite) run() { w.result <- w.write() }
 
-// write writes the request. A body whose length is known is written once its last byte is, whatever becomes of
-// the stream then: the server may execute the request.
+// write writes the request. A body whose length is known is written once its last byte is, whatever becomes
+// of the stream then: the server may execute the request.
 func (w *streamedWrite) write() error {
 	rest, isChunked := w.request.Rest, w.request.Chunked
 	if err := w.conn.writeParts(net.Buffers{w.request.Head}); err != nil {
