--- a/cmd/dunestep/commands_test.go
+++ b/cmd/dunestep/commands_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -78,6 +79,7 @@
 	code, out, _ = command(t, "version")
 	require.Zero(t, code)
 	require.Contains(t, out, "dunestep ")
+	require.True(t, strings.HasSuffix(out, ", "+runtime.GOOS+"/"+runtime.GOARCH+"\n"), out)
 }
 
 // The operator file sets the log's format and minimum level, also by a reload.
--- a/cmd/dunestep/version.go
+++ b/cmd/dunestep/version.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"runtime/debug"
 )
 
@@ -11,7 +12,8 @@
 
 const unknownRevision = "unknown revision"
 
-// Run prints the module's version, the revision and the Go version from the binary's build information.
+// Run prints the module's version, the revision and the Go version from the binary's build information, and
+// the platform.
 func (versionCommand) Run() error {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
@@ -26,6 +28,7 @@
 			modified = ", modified"
 		}
 	}
-	fmt.Printf("dunestep %s, %s%s, %s\n", info.Main.Version, revision, modified, info.GoVersion)
+	platform := runtime.GOOS + "/" + runtime.GOARCH
+	fmt.Printf("dunestep %s, %s%s, %s, %s\n", info.Main.Version, revision, modified, info.GoVersion, platform)
 	return nil
 }
