An id that is open at one process of an upgrade is refused at the other

Neither the offer nor the notifications of the hand-over carry ids.

Change: package openids has the ids that are open at a process and at its next one. A process with a previous one claims each id there before the request begins, and releases it with the last attempt, in the order of its calls; a claim goes on to the process before that one. It holds one entry for each open request, until the earlier process ends. A process of an earlier build answers no claims, and none are sent.

Not covered: ids that were answered, which a single process does not remember either.

--- a/cmd/dunestep/handover.go
+++ b/cmd/dunestep/handover.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dunestep/internal/handover"
+	"dunestep/internal/openids"
 	"dunestep/internal/protocol"
 	"dunestep/internal/state"
 	"dunestep/internal/transport"
@@ -82,7 +83,7 @@
 	limits := p.currentLimits()
 	offer := handover.Offer{
 		SocketNames: names, State: p.encodeState(), MemoryMB: max(limits.MemoryMB/2, 1),
-		Descriptors: p.descriptorsForNext(limits),
+		Descriptors: p.descriptorsForNext(limits), AnswersClaims: true,
 	}
 	p.setNext(next, limitsShare{limits.Sockets - offer.Descriptors, limits.MemoryMB - offer.MemoryMB})
 	debug.FreeOSMemory()
@@ -93,6 +94,7 @@
 		slog.Info("handing over to a new process", "descriptors", offer.Descriptors, "memory_mb", offer.MemoryMB)
 		p.runBeside(next, offer.Descriptors)
 	}
+	p.requestIDs.nextEnded()
 	p.setNext(nil, limitsShare{})
 	if p.datagrams != nil {
 		p.datagrams.Activate()
@@ -112,6 +114,12 @@
 	defer close(stop)
 	go p.shareDescriptors(next, descriptors, stop)
 	next.Receive(func(n handover.Notification) {
+		if n.Claim != nil {
+			p.requestIDs.answer(next, *n.Claim)
+		}
+		if n.Release != "" {
+			p.requestIDs.release(n.Release, openids.NextProcess)
+		}
 		if n.Ready {
 			p.yieldClients()
 		}
--- /dev/null
+++ b/cmd/dunestep/openids_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// idRequest returns a request of a class with an id, in wire format.
+func (w *testbed) idRequest(class, id string) string {
+	return strings.Replace(w.requestText(class, 60_000), "X-Correlation-Id: ", "X-Correlation-Id: "+id+"\r\nX-Other: ", 1)
+}
+
+// clientOfThis returns a connection that this process has accepted, while the others are stopped.
+func (w *testbed) clientOfThis(others ...*testbed) *rawClient {
+	for _, other := range others {
+		other.signal(syscall.SIGSTOP)
+		defer other.signal(syscall.SIGCONT)
+	}
+	c := w.newRawClient()
+	c.send("GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(w.t, http.StatusOK, c.readAnswer().status)
+	return c
+}
+
+// heldIDs makes the only endpoint hold the answers to some ids until their channel is closed.
+func (w *testbed) heldIDs(ids ...string) map[string]chan struct{} {
+	held := map[string]chan struct{}{}
+	for _, id := range ids {
+		held[id] = make(chan struct{})
+	}
+	w.answerAll(func(a upstreamAttempt) string {
+		if release := held[correlationID(a)]; release != nil {
+			<-release
+		}
+		return ok(a)
+	})
+	return held
+}
+
+// runs returns how often the endpoint got an id.
+func (w *testbed) runs(id string) (n int) {
+	for _, a := range w.servers[0].attempts() {
+		if correlationID(a) == id {
+			n++
+		}
+	}
+	return n
+}
+
+// refused requires that an id is refused on the connection.
+func (c *rawClient) refused(class, id string) {
+	c.testbed.t.Helper()
+	c.send(c.testbed.idRequest(class, id))
+	require.Equal(c.testbed.t, http.StatusBadRequest, c.readAnswer().status)
+}
+
+// served requires that an id is served on the connection.
+func (c *rawClient) served(class, id string) {
+	c.testbed.t.Helper()
+	c.send(c.testbed.idRequest(class, id))
+	require.Equal(c.testbed.t, http.StatusOK, c.readAnswer().status)
+}
+
+// While processes of an agent run side by side, an id that is open at one is refused at the others, until its request is
+// over. Three run here, each of which the next one takes over from.
+func TestIDOpenAtAnotherProcess(t *testing.T) {
+	const atFirst, atSecond, atThird = "00000000000000a1", "00000000000000a2", "00000000000000a3"
+	w := start(t, 1, withOpsSocket, (*testbed).useLongTimeouts)
+	held := w.heldIDs(atFirst, atSecond, atThird)
+	toFirst, alsoToFirst := w.clientOfThis(), w.clientOfThis()
+	second := w.upgrade()
+	toSecond, alsoToSecond := second.clientOfThis(w), second.clientOfThis(w)
+	third := second.upgrade()
+	toThird, alsoToThird := third.clientOfThis(w, second), third.clientOfThis(w, second)
+	for id, c := range map[string]*rawClient{atFirst: toFirst, atSecond: toSecond, atThird: toThird} {
+		c.send(w.idRequest("rezervare", id))
+		w.waitUntil("the endpoint has it", func() bool { return w.runs(id) == 1 })
+	}
+	alsoToFirst.refused("rezervare", atThird)
+	alsoToSecond.refused("rezervare", atFirst)
+	alsoToThird.refused("consult", atSecond)
+	for id, c := range map[string]*rawClient{atFirst: toFirst, atSecond: toSecond, atThird: toThird} {
+		close(held[id])
+		require.Equal(t, http.StatusOK, c.readAnswer().status)
+		require.Equal(t, 1, w.runs(id))
+	}
+	toFirst.served("rezervare", atFirst)
+	toSecond.served("rezervare", atSecond)
+	toThird.served("rezervare", atThird)
+}
+
+// The earlier process is stopped, and can't tell which ids are open there: requests that must not run twice are rejected.
+// Once it is killed, nothing is open there any more.
+func TestIDsOfAnotherProcessThatDoesNotAnswer(t *testing.T) {
+	const id = "00000000000000b1"
+	w := newTestbed(t, 1)
+	withOpsSocket(w)
+	w.useLongTimeouts()
+	w.launch()
+	w.awaitReady()
+	w.heldIDs(id)
+	toFirst := w.clientOfThis()
+	second := w.upgrade()
+	clients := []*rawClient{second.clientOfThis(w), second.clientOfThis(w)}
+	toFirst.send(w.idRequest("rezervare", id))
+	w.waitUntil("the endpoint has it", func() bool { return w.runs(id) == 1 })
+	w.signal(syscall.SIGSTOP)
+	clients[0].send(w.idRequest("rezervare", id))
+	require.Equal(t, http.StatusServiceUnavailable, clients[0].readAnswer().status)
+	clients[0].served("consult", "00000000000000b2")
+	require.Equal(t, 1, w.runs(id))
+	w.answerAll(ok)
+	w.signal(syscall.SIGKILL)
+	w.waitUntil("the first process has ended", func() bool {
+		return strings.Contains(second.log.String(), "the previous process has exited")
+	})
+	clients[1].served("rezervare", id)
+}
--- a/cmd/dunestep/process.go
+++ b/cmd/dunestep/process.go
@@ -32,6 +32,7 @@
 	fleet       *fleetMember         // nil: this agent is not in a fleet
 	ops         *transport.OpsServer // nil: there is no operators' socket
 	upgrade     upgrade
+	requestIDs  sharedIDs
 	serveErrors chan error // the errors that ended the serving of a socket
 	isReloading bool       // the files could not be read after SIGHUP, and are read again
 }
@@ -107,6 +108,7 @@
 		},
 		Descriptors: p.descriptors, Bodies: p.bodies, Metrics: p.metrics, Disabled: disabled,
 		OnStateChange: p.state.requestWrite, Overload: s.overloadConfig(), FleetReady: p.fleet.isReady,
+		RequestIDs: &p.requestIDs,
 	}
 	if p.datagrams != nil {
 		set.Datagrams = p.datagrams
--- /dev/null
+++ b/cmd/dunestep/requestids.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+
+	"dunestep/internal/agent"
+	"dunestep/internal/handover"
+	"dunestep/internal/openids"
+)
+
+// sharedIDs are the ids that are open at this process and at the next one. While the previous process runs,
+// it is asked for each: it has those of all later ones.
+type sharedIDs struct {
+	registry openids.Registry
+	previous atomic.Pointer[handover.Claimant] // nil: there is no previous process, or it answers no claims
+}
+
+// Open opens an id at this process.
+func (r *sharedIDs) Open(ctx context.Context, id string) agent.IDState {
+	if !r.registry.Open(id, openids.ThisProcess) {
+		return agent.IDInUse
+	}
+	previous := r.previous.Load()
+	if previous == nil {
+		return agent.IDOpened
+	}
+	select {
+	case isInUse := <-previous.Claim(id): // false if the previous process has ended
+		if isInUse {
+			r.registry.Close(id, openids.ThisProcess)
+			return agent.IDInUse
+		}
+		return agent.IDOpened
+	case <-ctx.Done():
+		return agent.IDUnknown
+	}
+}
+
+// Close closes an id of this process.
+func (r *sharedIDs) Close(id string) { r.release(id, openids.ThisProcess) }
+
+// release closes an id, here and at the previous process.
+func (r *sharedIDs) release(id string, owner openids.Owner) {
+	if !r.registry.Close(id, owner) {
+		return
+	}
+	if previous := r.previous.Load(); previous != nil {
+		previous.Release(id)
+	}
+}
+
+// follow starts to claim ids at the previous process.
+func (r *sharedIDs) follow(previous *handover.Peer) {
+	r.previous.Store(handover.NewClaimant(previous.Notify))
+}
+
+// resolve handles an answer of the previous process.
+func (r *sharedIDs) resolve(result handover.ClaimResult) {
+	if previous := r.previous.Load(); previous != nil {
+		previous.Resolve(result)
+	}
+}
+
+// previousEnded ends the claims at the previous process: what was open there is no longer.
+func (r *sharedIDs) previousEnded() {
+	if previous := r.previous.Swap(nil); previous != nil {
+		previous.End()
+	}
+}
+
+// answer opens an id for the next process and tells it the result. If a previous process runs, it is asked
+// first, without holding up other claims.
+func (r *sharedIDs) answer(next *handover.Peer, claim handover.Claim) {
+	result := handover.ClaimResult{Number: claim.Number}
+	previous := r.previous.Load()
+	result.InUse = !r.registry.Open(claim.ID, openids.NextProcess)
+	if result.InUse || previous == nil {
+		next.Notify(handover.Notification{ClaimResult: &result})
+		return
+	}
+	go func() {
+		if result.InUse = <-previous.Claim(claim.ID); result.InUse {
+			r.registry.Close(claim.ID, openids.NextProcess)
+		}
+		next.Notify(handover.Notification{ClaimResult: &result})
+	}()
+}
+
+// nextEnded closes all ids of the next process.
+func (r *sharedIDs) nextEnded() {
+	for _, id := range r.registry.CloseAll(openids.NextProcess) {
+		if previous := r.previous.Load(); previous != nil {
+			previous.Release(id)
+		}
+	}
+}
--- a/cmd/dunestep/takeover.go
+++ b/cmd/dunestep/takeover.go
@@ -50,6 +50,9 @@
 		return taken
 	}
 	p.upgrade.previous = previous
+	if offer.AnswersClaims {
+		p.requestIDs.follow(previous)
+	}
 	p.upgrade.share = limitsShare{offer.Descriptors, offer.MemoryMB}
 	taken.manual, taken.fleet = offer.Manual, offer.FleetState
 	taken.manual.Disabled = routing.MergeDisabled(offer.Manual.Disabled, stored.Disabled)
@@ -129,7 +132,13 @@
 // followPrevious receives the previous process's notifications until that has exited. Then this process uses
 // the full limits and joins the fleet.
 func (p *process) followPrevious(previous *handover.Peer) {
-	previous.Receive(p.handleNotification)
+	previous.Receive(func(n handover.Notification) {
+		if n.ClaimResult != nil {
+			p.requestIDs.resolve(*n.ClaimResult)
+		}
+		p.handleNotification(n)
+	})
+	p.requestIDs.previousEnded()
 	p.upgrade.mu.Lock()
 	p.upgrade.previous = nil
 	p.upgrade.share = limitsShare{}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -56,6 +56,8 @@
 	// RingAssignment returns the agreed ring assignment at the moment of the call; nil: each agent uses its
 	// own list. The same pointer means an unchanged assignment.
 	RingAssignment func() *balancer.RingAssignment
+	// RequestIDs has the ids that are open at all processes of this agent; nil: no other process is known.
+	RequestIDs RequestIDs
 	// OnStateChange is called by the agent's actor when the state that is stored has changed
 	// significantly; nil: not called.
 	OnStateChange func()
@@ -69,6 +71,8 @@
 	fleetReady    func() bool
 	fleetCaughtUp func() bool
 	list          *listActor
+	ids           RequestIDs      // nil: not used
+	idempotent    map[string]bool // classes whose requests may run twice
 
 	// Accessed only by the actor's goroutine.
 	fleet        fleetSources
@@ -104,8 +108,12 @@
 		mail: newMailbox[any](), clock: newClock(), controller: controller, balancer: b, metrics: set.Metrics,
 		router: routing.NewRouter(permitted, controller), upstreams: map[string]*upstream{},
 		requests: map[uint32]*request{}, fleetReady: set.FleetReady, fleetCaughtUp: set.FleetCaughtUp,
+		ids: set.RequestIDs, idempotent: map[string]bool{},
 		fleet: fleetSources{policy: set.FleetPolicy, exclusions: set.Exclusions, ring: set.RingAssignment},
 	}
+	for _, class := range permitted.Classes {
+		a.idempotent[class.Name] = class.Idempotency == balancer.Idempotent
+	}
 	limit := &idleLimit{shared: routing.NewIdleLimit(a.clock.now(), set.Deployment.ConnIdleTimeout)}
 	upstreams := upstreamSettings{
 		clock: a.clock, maxConnectTimeout: maxConnectTimeout(set.Deployment), reuseDelay: routing.ReuseDelay,
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -77,6 +77,10 @@
 		return protocol.Response{}, false
 	}
 	useKnownArrival(r)
+	if response, isRefused := a.openID(ctx, r); isRefused {
+		r.Release()
+		return response, true
+	}
 	tracked := &request{Request: r, response: make(chan protocol.Response, 1)}
 	a.mail.put(tracked)
 	complete := r.BodyComplete
@@ -161,6 +165,7 @@
 func (a *Agent) startRequest(now time.Duration, r *request) {
 	if r.hasEnded() {
 		r.Release()
+		a.closeID(r)
 		return
 	}
 	r.isPassed = true
@@ -227,6 +232,7 @@
 		r.attempts[out.Attempt].cancelIfUnsent()
 	case routing.ForgetRequest:
 		r.Release()
+		a.closeID(r)
 		delete(a.requests, out.Request)
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -6,8 +6,8 @@
 // to the running one (peer.go, listener.go) and receives an Offer with listening sockets and state. Both
 // notify each other while they run. Frames are JSON preceded by its length (frame.go).
 //
-// A SettingsFile locks its file against other processes, and Peer.Notify is safe for concurrent use.
-// Everything else is not safe for concurrent use. The package starts no goroutine.
+// A SettingsFile locks its file against other processes; Peer.Notify and Claimant are safe for concurrent
+// use. Everything else is not safe for concurrent use. The package starts no goroutine but a Claimant's.
 package handover
 
 import (
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -40,6 +40,8 @@
 	FleetState []byte `json:"fleet,omitempty"`
 	// SocketNames are the networks and addresses of the sockets passed with the offer, in the same order.
 	SocketNames []string `json:"handed"`
+	// AnswersClaims reports that this process answers a Claim.
+	AnswersClaims bool `json:"answers_claims,omitempty"`
 }
 
 // Notification is a message between two processes while both run. Absent fields mean no change.
@@ -50,6 +52,10 @@
 	Manual *ManualSettings `json:"hand,omitempty"`
 	// Descriptors is the maximum number of file descriptors that the receiver may use from now on.
 	Descriptors int `json:"sockets,omitempty"`
+	// Claim and Release concern ids of requests at the next process, ClaimResult answers a Claim.
+	Claim       *Claim       `json:"claim,omitempty"`
+	ClaimResult *ClaimResult `json:"claim_result,omitempty"`
+	Release     string       `json:"release,omitempty"`
 }
 
 // hello is the first frame that a new process sends.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,7 +22,7 @@
 const (
 	FailedText       = "failed\n"
 	RejectedText     = "busy\n"
-	idInUseText      = "the id is in use\n"
+	IDInUseText      = "the id is in use\n"
 	unknownClassText = "unknown class\n"
 )
 
@@ -136,7 +136,7 @@
 	_, inUse := r.correlationIDs[in.CorrelationID]
 	switch {
 	case inUse: // if forwarded, it could be processed twice
-		r.respondDirectly(req, protocol.Malformed, idInUseText, "id in use")
+		r.respondDirectly(req, protocol.Malformed, IDInUseText, "id in use")
 	case !known: // neither its objective nor its idempotency is known
 		r.respondDirectly(req, protocol.Malformed, unknownClassText, "unknown class")
 	case r.failingAll: // it would get no response any more
@@ -248,7 +248,8 @@
 	r.decide(now, &r.attemptDone)
 }
 
-// respondWithoutBody responds to a request none of whose attempts is open, and whose body can't be sent again.
+// respondWithoutBody responds to a request none of whose attempts is open, and whose body can't be sent
+// again.
 func (r *Router) respondWithoutBody(now time.Duration, req *requestState) {
 	response := Output{Result: protocol.Rejected, Text: RejectedText, Cause: "body consumed"}
 	if !req.mayReject(now) {
