A second copy of a response is not taken for the next request's response

Nothing in a response names its request.

Change: a 200 with the content of the one before on its connection is dropped if it comes within 50 ms of that and in less than half of the shortest time in which the server has answered a connection's first request, which no copy can precede. What follows is the response, and the connection is not used again. Servers that answer in under 10 ms are not judged. If nothing follows, the time counts as the server's from then on. After a rejection a connection rests for 50 ms, and no attempt waits for it: rejections are all alike and come at once, so that nothing else tells their copies.

Not covered: copies of streamed classes, and of responses in under 10 ms.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"dunestep/internal/balancer"
 	"dunestep/internal/bodystream"
 	"dunestep/internal/bytebudget"
 	"dunestep/internal/protocol"
@@ -87,7 +88,7 @@
 		began := time.Now()
 		limit := min(timeout, time.Until(end))
 		e.conn, e.err = transport.DialUpstream(e.attempt.ctx, e.attempt.endpoint, e.checkout.Addr, limit,
-			s.descriptors, s.bodies, func(c *transport.UpstreamConn) { e.upstream.mail.put(connectionEnded{c}) })
+			s.descriptors, s.bodies, &e.upstream.times, e.upstream.idleConnectionEnded)
 		s.connectTimeouts.record(began, e.err)
 		if e.err == nil {
 			return true
@@ -202,6 +203,7 @@
 	if e.reusable {
 		m.conn = e.conn
 		m.unused = e.result.Phase == routing.StaleConnection && e.conn == e.checkout.Conn
+		m.rejected = !m.unused && e.response.Outcome == balancer.Rejected
 	}
 	if e.result.IsUnanswered() && e.streamed == nil {
 		m.unansweredSince = e.upstream.settings.clock.now() - time.Since(e.attempt.sent)
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -28,6 +28,7 @@
 	mail        *mailbox[any]
 	report      func(any) // takes responseStarted and attemptEnded; the agent's actor handles them
 	pool        *routing.Pool[*transport.UpstreamConn]
+	times       transport.ResponseTimes
 	expiryTimer *time.Timer   // fires when the next idle connection must be closed; nil: never set
 	expiryAt    time.Duration // when expiryTimer fires, on the clock; zero: it is not set
 }
@@ -39,6 +40,7 @@
 		checkout routing.Checkout[*transport.UpstreamConn]
 		conn     *transport.UpstreamConn // nil: closed
 		unused   bool                    // conn is the checkout's, and nothing was written on it
+		rejected bool                    // the endpoint has rejected the attempt
 		// unansweredSince is when the attempt was sent, if it got no response on a reused
 		// connection; else zero.
 		unansweredSince time.Duration
@@ -95,6 +97,10 @@
 	return !u.pool.IsDone()
 }
 
+// idleConnectionEnded reports to the actor that a connection has ended, or has received something, while no
+// attempt used it.
+func (u *upstream) idleConnectionEnded(c *transport.UpstreamConn) { u.mail.put(connectionEnded{c}) }
+
 // checkIn returns a connection to the pool. The result is the connections to close.
 func (u *upstream) checkIn(now time.Duration, m connectionReturned) (closing []*transport.UpstreamConn) {
 	switch {
@@ -106,6 +112,9 @@
 	case m.unused:
 		return u.pool.ReturnUnused(m.checkout, m.conn.HasEnded())
 	}
+	if m.rejected {
+		return u.pool.ReleaseRejected(now, m.conn, m.checkout.Addr, m.conn.HasEnded())
+	}
 	return u.pool.Release(now, m.conn, m.checkout.Addr, m.conn.HasEnded())
 }
 
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -13,6 +13,11 @@
 // received once the next attempt uses it would be mistaken for that attempt's response.
 const ReuseDelay = 10 * time.Millisecond
 
+// RejectionReuseDelay is ReuseDelay after a rejection by the endpoint. A second copy of it that is taken for
+// another attempt's response would say of a request that may be executed that it never was, and rejections
+// are too much alike to tell copies by. An attempt does not wait for such a connection.
+const RejectionReuseDelay = 5 * ReuseDelay
+
 // Pool owns the idle connections to one endpoint, and counts the attempts under way there. C is the caller's
 // type of a connection. Inputs return the connections for the caller to close, valid until the next input.
 type Pool[C comparable] struct {
@@ -31,9 +36,10 @@
 
 // idleConnection is a connection that waits for its next attempt.
 type idleConnection[C comparable] struct {
-	conn      C
-	since     time.Duration
-	expiresAt time.Duration // when to close it
+	conn       C
+	since      time.Duration
+	writableAt time.Duration // when its next attempt may be written
+	expiresAt  time.Duration // when to close it
 }
 
 // Checkout is the connection that an attempt gets, or the address to connect to.
@@ -61,24 +67,35 @@
 	p.inUse++
 	p.closing = p.closing[:0]
 	limit := p.limit.Limit()
-	p.removeMatching(func(c idleConnection[C]) bool { return max(now-c.since, p.reuseDelay) > limit })
-	if len(p.idle) == 0 {
+	p.removeMatching(func(c idleConnection[C]) bool { return max(now, c.writableAt)-c.since > limit })
+	at, ok := p.best(now)
+	if !ok {
 		return Checkout[C]{Addr: p.addr}, p.closing
 	}
-	at := len(p.idle) - 1
-	for at > 0 && now-p.idle[at].since < p.reuseDelay {
-		at--
-	}
 	entry := p.idle[at]
 	p.idle = slices.Delete(p.idle, at, at+1)
 	idle := now - entry.since
-	delay := max(p.reuseDelay-idle, 0)
+	delay := max(entry.writableAt-now, 0)
 	return Checkout[C]{
 		Reused: true, Conn: entry.conn, WriteDelay: delay, IdleFor: idle + delay, Addr: p.addr,
 		entry: entry,
 	}, p.closing
 }
 
+// best returns the place of the idle connection that the next attempt gets; false: it needs a new one.
+func (p *Pool[C]) best(now time.Duration) (at int, ok bool) {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		writableAt := p.idle[i].writableAt
+		if writableAt <= now {
+			return i, true
+		}
+		if writableAt-now <= p.reuseDelay && (!ok || writableAt <= p.idle[at].writableAt) {
+			at, ok = i, true
+		}
+	}
+	return at, ok
+}
+
 // ReturnUnused handles the end of an attempt that was not written on its reused connection. The connection's
 // idle time continues. ended means that the connection has ended since.
 //
@@ -114,12 +131,26 @@
 //
 //nolint:revive // flag-parameter: ended is reported by the connection, and is no choice of the caller's
 func (p *Pool[C]) Release(now time.Duration, conn C, to netip.AddrPort, ended bool) []C {
+	return p.release(now, p.reuseDelay, conn, to, ended)
+}
+
+// ReleaseRejected is Release for an attempt that the endpoint has rejected.
+//
+//nolint:revive // flag-parameter: as Release
+func (p *Pool[C]) ReleaseRejected(now time.Duration, conn C, to netip.AddrPort, ended bool) []C {
+	return p.release(now, max(p.reuseDelay, RejectionReuseDelay), conn, to, ended)
+}
+
+//nolint:revive // flag-parameter: as Release
+func (p *Pool[C]) release(now, reuseDelay time.Duration, conn C, to netip.AddrPort, ended bool) []C {
 	p.inUse--
 	p.closing = p.closing[:0]
 	if p.retired || p.noReuse || to != p.addr || ended {
 		p.closing = append(p.closing, conn)
 	} else {
-		p.idle = append(p.idle, idleConnection[C]{conn: conn, since: now, expiresAt: now + p.limit.Limit()})
+		p.idle = append(p.idle, idleConnection[C]{
+			conn: conn, since: now, writableAt: now + reuseDelay, expiresAt: now + p.limit.Limit(),
+		})
 	}
 	return p.closing
 }
--- a/internal/routing/pool_test.go
+++ b/internal/routing/pool_test.go
@@ -104,6 +104,23 @@
 	require.Equal(t, []string{"a"}, closing)
 }
 
+// After a rejection a connection rests longer, and no attempt waits for it.
+func TestReuseDelayAfterRejection(t *testing.T) {
+	const ms = time.Millisecond
+	p := NewPool[string](firstAddr, NewIdleLimit(0, 10*time.Second), ReuseDelay)
+	p.Acquire(0)
+	p.ReleaseRejected(0, "a", firstAddr, false)
+	checkout, _ := p.Acquire(RejectionReuseDelay - ReuseDelay - ms)
+	require.False(t, checkout.Reused)
+	p.Release(RejectionReuseDelay-ReuseDelay-ms, "b", firstAddr, false)
+	checkout, _ = p.Acquire(RejectionReuseDelay - 2*ms)
+	require.Equal(t, "b", checkout.Conn)
+	require.Equal(t, ms, checkout.WriteDelay)
+	checkout, _ = p.Acquire(RejectionReuseDelay)
+	require.Equal(t, "a", checkout.Conn)
+	require.Zero(t, checkout.WriteDelay)
+}
+
 // fixedLimit is a Limiter with a constant limit.
 type fixedLimit time.Duration
 
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -45,6 +45,7 @@
 	onIdleEnd func(*UpstreamConn)
 	done      chan struct{} // closed when the connection is not read any more
 	release   func()
+	copies    secondCopies
 
 	// writeStall measures for how long the server takes nothing of a streamed request.
 	writeStall writeStall
@@ -87,7 +88,8 @@
 	// but streamed. It must have the response's BodyStream closed, also if RoundTrip returns an error.
 	OnResponseStart func(protocol.UpstreamResponse)
 
-	ctx context.Context // context of RoundTrip
+	ctx     context.Context // context of RoundTrip
+	begunAt time.Time       // when the connection was taken for it, right before its first byte is written
 }
 
 // responseEvent is the start of a streamed response, or the end of a response.
@@ -100,8 +102,8 @@
 // dialLog logs faults of this machine.
 var dialLog rateLimitedLog
 
-// DialUpstream connects to an upstream server. onIdleEnd is called from another goroutine if the connection
-// ends, or receives something, while no request is in flight.
+// DialUpstream connects to an upstream server. times are shared by all connections to it. onIdleEnd is called
+// from another goroutine if the connection ends, or receives something, while no request is in flight.
 func DialUpstream(
 	ctx context.Context,
 	server string,
@@ -109,6 +111,7 @@
 	timeout time.Duration,
 	d *Descriptors,
 	bodies *BodyLimits,
+	times *ResponseTimes,
 	onIdleEnd func(*UpstreamConn),
 ) (*UpstreamConn, error) {
 	if !d.AcquireUpstream() {
@@ -125,16 +128,17 @@
 		return nil, err
 	}
 	_ = conn.(*net.TCPConn).SetReadBuffer(kernelBufferBytes) // if the kernel refuses it, its default applies
-	return newUpstream(conn, server, bodies, d.ReleaseUpstream, onIdleEnd)
+	return newUpstream(conn, server, bodies, times, d.ReleaseUpstream, onIdleEnd)
 }
 
 // newUpstream starts the goroutine that reads a connection; release is called once, when it is closed.
-func newUpstream(conn net.Conn, server string, bodies *BodyLimits, release func(),
+func newUpstream(conn net.Conn, server string, bodies *BodyLimits, times *ResponseTimes, release func(),
 	onIdleEnd func(*UpstreamConn),
 ) (*UpstreamConn, error) {
 	u := &UpstreamConn{
 		conn: conn, server: server, bodies: bodies, onIdleEnd: onIdleEnd, responses: make(chan responseEvent, 1),
 		done: make(chan struct{}), release: sync.OnceFunc(release), source: stickyErrorReader{conn: conn},
+		copies: secondCopies{times: times},
 	}
 	u.limited.R = &u.source
 	var err error
@@ -277,6 +281,7 @@
 		u.hasEnded = err != nil || isReadable
 	}
 	if !u.hasEnded {
+		request.begunAt = time.Now()
 		u.current = request
 	}
 	return !u.hasEnded
@@ -299,7 +304,7 @@
 		}
 		var event responseEvent
 		if event.err = err; err == nil {
-			event.UpstreamResponse, event.err = u.readResponse(request)
+			event.UpstreamResponse, event.err = u.readOwnResponse(request)
 		}
 		u.mu.Lock()
 		u.current = nil
--- a/internal/transport/upstream_test.go
+++ b/internal/transport/upstream_test.go
@@ -111,7 +111,7 @@
 		conn := scriptedServer(t, texts...)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		u, err := newUpstream(conn, "s-0", bodies, func() {}, func(*UpstreamConn) {})
+		u, err := newUpstream(conn, "s-0", bodies, nil, func() {}, func(*UpstreamConn) {})
 		require.NoError(t, err)
 		defer u.Close()
 		var got []byte
@@ -173,7 +173,7 @@
 			bodies := NewBodyLimits(1<<20, BodyRules{MaxBytes: 1 << 20, BufferedBytes: 4000, ClientStallTimeout: time.Second})
 			ours, server := socketPair(t)
 			t.Cleanup(func() { _ = server.Close() })
-			u, err := newUpstream(ours, "s-0", bodies, func() {}, func(*UpstreamConn) {})
+			u, err := newUpstream(ours, "s-0", bodies, nil, func() {}, func(*UpstreamConn) {})
 			require.NoError(t, err)
 			go func() { // responds after the first byte, and closes when the response is being read
 				_, _ = io.ReadFull(server, make([]byte, 1))
@@ -201,7 +201,7 @@
 	bodies := NewBodyLimits(1<<20, BodyRules{MaxBytes: 1 << 20, BufferedBytes: 4000, ClientStallTimeout: time.Second})
 	for i := range 300 {
 		ours, server := socketPair(t)
-		u, err := newUpstream(ours, "s-0", bodies, func() {}, func(*UpstreamConn) {})
+		u, err := newUpstream(ours, "s-0", bodies, nil, func() {}, func(*UpstreamConn) {})
 		require.NoError(t, err)
 		go func() {
 			in := bufio.NewReader(server)
@@ -261,7 +261,7 @@
 	theirs, err := l.Accept()
 	require.NoError(t, err)
 	defer func() { _ = theirs.Close() }()
-	u, err := newUpstream(ours, "s-0", nil, func() {}, func(*UpstreamConn) {})
+	u, err := newUpstream(ours, "s-0", nil, nil, func() {}, func(*UpstreamConn) {})
 	require.NoError(t, err)
 	defer u.Close()
 	_, err = theirs.Write([]byte("HTTP/1.1 200 OK\r\n"))
--- a/internal/transport/upstreamraces_test.go
+++ b/internal/transport/upstreamraces_test.go
@@ -30,7 +30,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	bodies = NewBodyLimits(1<<20, BodyRules{MaxBytes: 1 << 20, BufferedBytes: 1 << 20, ClientStallTimeout: time.Minute, MaxBuffering: time.Minute})
-	u, err = newUpstream(ours, "s-0", bodies, func() {}, func(*UpstreamConn) {})
+	u, err = newUpstream(ours, "s-0", bodies, nil, func() {}, func(*UpstreamConn) {})
 	require.NoError(t, err)
 	t.Cleanup(u.Close)
 	return u, bodies, c.(*net.TCPConn)
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -16,6 +16,33 @@
 // 200.
 const maxResponseOverhead = 80 << 10
 
+// readOwnResponse reads the response to a request, after second copies of the response before it.
+func (u *UpstreamConn) readOwnResponse(request *UpstreamRequest) (protocol.UpstreamResponse, error) {
+	for hasDropped := false; ; hasDropped = true {
+		if _, err := u.peekResponse(); err != nil {
+			u.copies.connectionEnded()
+			return protocol.UpstreamResponse{}, u.classifyReadError(err)
+		}
+		u.copies.begin(time.Now().Add(-u.TimeSinceData()), request)
+		response, err := u.readResponse(request)
+		response.Close = response.Close || hasDropped // others may follow
+		if !errors.Is(err, errSecondCopy) {
+			return response, err
+		}
+		u.copies.drop()
+	}
+}
+
+// peekResponse waits for the first byte of a response.
+func (u *UpstreamConn) peekResponse() ([]byte, error) {
+	u.limited.N = maxResponseOverhead
+	b, err := u.reader.Peek(1)
+	if err == io.EOF { //nolint:errorlint // as bufio returns it
+		err = io.ErrUnexpectedEOF
+	}
+	return b, err
+}
+
 // readResponse reads a response. Its error distinguishes one that was cut off with its connection from an
 // invalid one.
 func (u *UpstreamConn) readResponse(request *UpstreamRequest) (protocol.UpstreamResponse, error) {
@@ -25,13 +52,16 @@
 	if err == nil && u.limited.N <= 0 && u.reader.Buffered() == 0 { // the limit may have cut it off
 		err = ErrInvalidResponse
 	}
+	var print fingerprint
+	print.begin(&response, body.Length)
 	if err == nil && body.Reader != nil {
 		u.limited.N = math.MaxInt64 // the body's bytes are counted by readBody
-		err = u.readBody(request, &response, body, rules)
+		err = u.readBody(request, &response, body, rules, &print)
 	}
 	if err != nil {
 		return protocol.UpstreamResponse{}, u.classifyReadError(err)
 	}
+	u.copies.end(&print, response.Outcome)
 	// Bytes after the response must not be mistaken for the next response.
 	response.Close = response.Close || u.reader.Buffered() > 0
 	return response, nil
@@ -41,7 +71,8 @@
 // from an invalid one, to whose error it adds ErrInvalidResponse.
 func (u *UpstreamConn) classifyReadError(err error) error {
 	switch {
-	case errors.Is(err, bytebudget.ErrFull), errors.Is(err, bodystream.ErrAbandoned):
+	case errors.Is(err, bytebudget.ErrFull), errors.Is(err, bodystream.ErrAbandoned),
+		errors.Is(err, errSecondCopy):
 		return err
 	case u.limited.N > 0 && u.source.err != nil:
 		return err
@@ -53,7 +84,7 @@
 // buffered until it is complete. One that is longer than rules.BufferedBytes, or takes longer than
 // rules.MaxBuffering and is not known to be short, is started as a stream.
 func (u *UpstreamConn) readBody(request *UpstreamRequest, response *protocol.UpstreamResponse,
-	body protocol.UnreadBody, rules BodyRules,
+	body protocol.UnreadBody, rules BodyRules, print *fingerprint,
 ) error {
 	minBytes, maxBytes := u.bodies.memoryWindow(body.Length, rules)
 	waitedSince := time.Now()
@@ -71,8 +102,11 @@
 			BodyStream: stream,
 		}, isStart: true}
 	}}
-	err = copyResponseBody(stream, body, rules, request.Streamed, &start)
+	err = u.copyResponseBody(stream, body, rules, request.Streamed, &start, print)
 	isStarted := start.finish()
+	if !isStarted && (err == nil || err == io.EOF) && u.copies.isCopy(print) { //nolint:errorlint // as below
+		err = errSecondCopy
+	}
 	if err == nil || err == io.EOF { //nolint:errorlint // a wrapped io.EOF does not mean complete
 		stream.CloseWrite(io.EOF)
 		return nil
@@ -89,8 +123,8 @@
 }
 
 // copyResponseBody copies a body to its stream, and starts the response if it may not be buffered any longer.
-func copyResponseBody(stream *bodystream.Stream, body protocol.UnreadBody, rules BodyRules, isStreamed bool,
-	start *responseStart,
+func (u *UpstreamConn) copyResponseBody(stream *bodystream.Stream, body protocol.UnreadBody, rules BodyRules,
+	isStreamed bool, start *responseStart, print *fingerprint,
 ) error {
 	isKnownShort := body.Length >= 0 && body.Length <= rules.BufferedBytes
 	for received := int64(0); received != body.Length; {
@@ -103,10 +137,13 @@
 			return protocol.ErrResponseTooLong
 		}
 		stream.CommitWrite(n)
+		print.add(buffer[:n])
 		switch {
 		case err != nil:
 			return err
 		case received == body.Length:
+		case received > rules.BufferedBytes && u.copies.isCopy(print):
+			return ErrInvalidResponse // too long to be dropped
 		case isStreamed || received > rules.BufferedBytes:
 			start.startNow()
 		case !isKnownShort:
