An answer that its server may still give is passed on while the process may live

FailAll leaves them now; EndResponses ends them 0.1 s before, so that clients can tell, and the process exits 0.05 s before.

--- a/cmd/dunestep/shutdown.go
+++ b/cmd/dunestep/shutdown.go
@@ -40,6 +40,7 @@
 		slog.Warn("drain deadline reached: unanswered requests fail now")
 		a.FailAll()
 	})
+	endResponses := sync.OnceFunc(a.EndResponses)
 	_, acceptUntil := plan.PhaseAt(0)
 	listener.StartFinalDrain(acceptUntil)
 	if next == hasSuccessor {
@@ -56,8 +57,12 @@
 			}
 		case routing.ShutdownFailing:
 			failAll()
-		case routing.ShutdownOver:
+		case routing.ShutdownEnding:
 			failAll() // if the process was not scheduled during the phase before
+			endResponses()
+		case routing.ShutdownOver:
+			failAll()
+			endResponses()
 			return
 		}
 		ctx, cancel := context.WithDeadline(context.Background(), began.Add(until))
--- a/internal/agent/actor.go
+++ b/internal/agent/actor.go
@@ -25,8 +25,10 @@
 		at      time.Time
 	}
 	// failAll fails all requests, and makes later ones be rejected.
-	failAll  struct{}
-	timerDue struct{ tag uint64 }
+	failAll struct{}
+	// endResponses ends the responses that are being forwarded.
+	endResponses struct{}
+	timerDue     struct{ tag uint64 }
 	// releaseIdle closes idle connections to endpoints.
 	releaseIdle        struct{}
 	snapshotQuery      struct{ reply chan<- state.Snapshot }
@@ -83,6 +85,8 @@
 		a.carryOutAll(a.router.DatagramReceived(now, m))
 	case failAll:
 		a.carryOutAll(a.router.FailAll())
+	case endResponses:
+		a.carryOutAll(a.router.EndResponses())
 	case releaseIdle:
 		a.carryOutAll(a.router.ReleaseIdle())
 	default:
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -115,6 +115,9 @@
 // process is about to end.
 func (a *Agent) FailAll() { a.mail.put(failAll{}) }
 
+// EndResponses ends the responses that are being forwarded: the process ends now.
+func (a *Agent) EndResponses() { a.mail.put(endResponses{}) }
+
 // ReleaseIdle closes idle connections to endpoints.
 func (a *Agent) ReleaseIdle() { a.mail.put(releaseIdle{}) }
 
--- a/internal/rehearsal/world/agent.go
+++ b/internal/rehearsal/world/agent.go
@@ -135,6 +135,7 @@
 	datagramReceived
 	releaseIdle
 	failAll
+	endResponses
 )
 
 func (m *message) fire() { m.proc.post(*m) }
@@ -302,6 +303,8 @@
 		l.execute(l.router.ReleaseIdle())
 	case failAll:
 		l.execute(l.router.FailAll())
+	case endResponses:
+		l.execute(l.router.EndResponses())
 	}
 }
 
--- a/internal/rehearsal/world/restart.go
+++ b/internal/rehearsal/world/restart.go
@@ -56,6 +56,8 @@
 		l.exitIfUnused()
 	case routing.ShutdownFailing:
 		l.post(message{kind: failAll})
+	case routing.ShutdownEnding:
+		l.post(message{kind: endResponses})
 	case routing.ShutdownOver:
 		(*processExits)(l).fire()
 		return
--- a/internal/routing/responseprogress.go
+++ b/internal/routing/responseprogress.go
@@ -24,15 +24,24 @@
 	return !p.Stream && p.Length >= 0 && p.Length <= protocol.MaxBufferedBody
 }
 
+// isUndecided reports whether the response may be one that clients time to the last byte: its length is not
+// known, and what has been received is not more than is buffered.
+func (p ResponseProgress) isUndecided() bool {
+	return !p.Stream && p.Length < 0 && p.Received <= protocol.MaxBufferedBody
+}
+
 const (
 	// A client gives up a short response half a second after the request's time. To let the client see
 	// that it failed, it is ended before that: after maxShortStall without a byte, and at
 	// maxShortOverrun in any case.
 	maxShortStall   = 200 * time.Millisecond
 	maxShortOverrun = 400 * time.Millisecond
-	// maxLongStall is the maximum time without a byte of a long response after the request's time. A late
-	// response is still useful to its client while bytes arrive.
-	maxLongStall = 3 * time.Second
+	// maxUndecidedStall is the maximum time without a byte, after the request's time, of a response that may
+	// be short or long.
+	maxUndecidedStall = 3 * time.Second
+	// maxLongStall is the maximum time without a byte of a long response after the request's time. It is longer
+	// than the 23 s for which servers of this kind have hung and then gone on: their responses are still useful.
+	maxLongStall = 30 * time.Second
 	// maxLongOverrun is the maximum time that a long response may last after the request's time.
 	maxLongOverrun = 2 * time.Minute
 	// minClientBytesPerSecond is the minimum rate at which a client must read a response that it holds up.
@@ -57,7 +66,8 @@
 //
 // A short response has to be complete within the request's time; maxShortStall and maxShortOverrun define how
 // late it is ended. Of a long response and of a stream, only the first bytes have to arrive in that time. The
-// rest may arrive later while the endpoint keeps sending, within maxLongStall and maxLongOverrun.
+// rest may arrive later while the endpoint keeps sending, within maxLongStall and maxLongOverrun; within
+// maxUndecidedStall until it is known that the response is long.
 //
 // A client may block the connection to an endpoint for as long as the endpoint itself has taken since the
 // attempt was sent, plus lag. It may block the connection for longer while it reads at least
@@ -69,6 +79,8 @@
 		return NotEnded
 	case p.isTimedToLastByte() && (left <= 0 && quiet > maxShortStall || left < -maxShortOverrun):
 		return TimedOut
+	case p.isUndecided() && left <= 0 && quiet > maxUndecidedStall:
+		return TimedOut
 	case left <= 0 && quiet > maxLongStall, left < -maxLongOverrun:
 		return TimedOut
 	case p.Blocked > endpointTime+lag &&
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -310,18 +310,26 @@
 	return r.out
 }
 
-// FailAll fails every request without a response, cancels responses that are being streamed, and makes the
-// Router reject later requests: the agent is about to end. No attempt is started from here on.
+// FailAll fails every request without a response, and makes the Router reject later requests: the agent is
+// about to end. No attempt is started from here on. Responses that are being streamed go on.
 func (r *Router) FailAll() []Output {
 	r.out = r.out[:0]
 	r.failingAll = true
 	for _, id := range sorted(r.requests) {
-		r.cancelStreaming(r.requests[id], AgentStopping)
 		r.respondOnce(id, Output{Result: protocol.Failed, Text: FailedText, Cause: "shutting down"})
 	}
 	return r.out
 }
 
+// EndResponses cancels the responses that are being streamed: the agent ends now.
+func (r *Router) EndResponses() []Output {
+	r.out = r.out[:0]
+	for _, id := range sorted(r.requests) {
+		r.cancelStreaming(r.requests[id], AgentStopping)
+	}
+	return r.out
+}
+
 // ReleaseIdle closes idle connections to all endpoints, to free descriptors.
 func (r *Router) ReleaseIdle() []Output {
 	r.out = r.out[:0]
