An attempt announces no more than its client has left while bytes are unread

Its client has sent all of a chunked body, of which its own machine holds a part. The agent does not read meanwhile; its system takes in a little more 0.2 s later, which counted as the latest progress, so that the client seemed to wait since then only. Ruled out: the age that the system tells, whose steps are under 10 ms. What is announced goes by how long nothing was read now (BodyArrival.LongestWait); when the client's time is over is decided as before.

--- a/internal/routing/bodyarrival.go
+++ b/internal/routing/bodyarrival.go
@@ -30,6 +30,21 @@
 // complete. It is within the half second in which a late response is still accepted.
 const minUnreadTime = 200 * time.Millisecond
 
+// LongestWait returns for how long the client may have waited since it sent the last byte of its request.
+// Where bytes are unread, that may be as long as nothing was read: the system takes in a little more now and
+// then, by which the latest arrival says nothing of when the client sent it.
+func (a BodyArrival) LongestWait() time.Duration {
+	switch {
+	case a.State == BodyArrived:
+		return a.SinceArrival
+	case a.HasUnread:
+		return max(a.SinceArrival, a.UnreadFor)
+	case a.State == BodyIncomplete: // the client sends slowly
+		return 0
+	}
+	return a.SinceArrival
+}
+
 // StartOfTime returns for how long the client may have waited since the last byte of its request, and whether
 // that counts as the start of its time. timeLeft is how long it waits from then on.
 //
--- a/internal/routing/bodyarrival_test.go
+++ b/internal/routing/bodyarrival_test.go
@@ -34,3 +34,21 @@
 		}
 	}
 }
+
+// What an attempt announces to its server is at most what the client has left: it may have sent its last byte as long ago as
+// nothing was read, whatever arrived since of what its own machine held.
+func TestLongestWait(t *testing.T) {
+	for _, c := range []struct {
+		arrival BodyArrival
+		want    time.Duration
+	}{
+		{BodyArrival{State: BodyArrived, SinceArrival: 3, UnreadFor: 5, HasUnread: true}, 3},
+		{BodyArrival{State: BodyUnknown, SinceArrival: 3, UnreadFor: 5, HasUnread: true}, 5},
+		{BodyArrival{State: BodyUnknown, SinceArrival: 7, UnreadFor: 5, HasUnread: true}, 7},
+		{BodyArrival{State: BodyUnknown, SinceArrival: 3, UnreadFor: 5}, 3},
+		{BodyArrival{State: BodyIncomplete, SinceArrival: 3, UnreadFor: 5, HasUnread: true}, 5},
+		{BodyArrival{State: BodyIncomplete, SinceArrival: 3, UnreadFor: 5}, 0},
+	} {
+		require.Equal(t, c.want, c.arrival.LongestWait(), "%+v", c.arrival)
+	}
+}
--- a/internal/transport/bodyarrival.go
+++ b/internal/transport/bodyarrival.go
@@ -145,6 +145,9 @@
 
 // clientWaited returns for how long the client may have waited since the last byte of its request.
 func (w *arrivalWatch) clientWaited() time.Duration {
-	waited, _ := w.startOfTime(time.Now())
-	return waited
+	arrival, isPaused := w.conn.bodyArrival(time.Now())
+	if !isPaused {
+		return 0
+	}
+	return arrival.LongestWait()
 }
