Tests: requests that an endpoint reads slowly are given up while their clients wait

Real processes on loopback, endpoints that read 4 KiB at a time, with receive buffers of 8 KiB and with the system's. Measured before any change: requests of 120,000 bytes end with 503 (safe class) or 502 (booking) 0.50 s after they were sent, of 2.5 s; requests of 40,000 bytes, which are not streamed, with 502.

--- a/cmd/dunestep/stalledservers_test.go
+++ b/cmd/dunestep/stalledservers_test.go
@@ -73,9 +73,14 @@
 
 // longRequestText returns a request with a long body.
 func longRequestText(id, key string, content longBody, timeLeft time.Duration) string {
+	return longRequestTextOf("rezervare", id, key, content, timeLeft)
+}
+
+// longRequestTextOf is longRequestText for a class.
+func longRequestTextOf(class, id, key string, content longBody, timeLeft time.Duration) string {
 	framing, body := content.encode(id)
-	return fmt.Sprintf("POST /rezervare/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Account: acme\r\nCookie: sid=%s\r\n"+
-		"X-Time-Left-Ms: %d\r\n%s\r\n\r\n%s", id, key, timeLeft.Milliseconds(), framing, body)
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Account: acme\r\nCookie: sid=%s\r\n"+
+		"X-Time-Left-Ms: %d\r\n%s\r\n\r\n%s", class, id, key, timeLeft.Milliseconds(), framing, body)
 }
 
 // sendLong sends a request with a long body, and waits for its answer for waitTimeout.
@@ -85,10 +90,22 @@
 	return r
 }
 
+// sendLongOf is sendLong for a class.
+func (w *testbed) sendLongOf(class, key string, content longBody, timeLeft time.Duration) *longRequest {
+	r, err := w.trySendLongOf(class, key, content, timeLeft)
+	require.NoError(w.t, err)
+	return r
+}
+
 // trySendLong is sendLong for an agent that may have ended.
 func (w *testbed) trySendLong(key string, content longBody, timeLeft time.Duration) (*longRequest, error) {
+	return w.trySendLongOf("rezervare", key, content, timeLeft)
+}
+
+// trySendLongOf is trySendLong for a class.
+func (w *testbed) trySendLongOf(class, key string, content longBody, timeLeft time.Duration) (*longRequest, error) {
 	r := &longRequest{id: w.nextID(), timeLeft: timeLeft}
-	text := longRequestText(r.id, key, content, timeLeft)
+	text := longRequestTextOf(class, r.id, key, content, timeLeft)
 	c, err := net.Dial("tcp", w.addr)
 	if err != nil {
 		return nil, err
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -76,6 +76,23 @@
 	s.readPause = pause
 }
 
+// SetReceiveBuffer sets the size of the system's receive buffer of connections that are accepted from now on, in
+// bytes. The system doubles it. It returns an error if the server does not listen.
+func (s *Server) SetReceiveBuffer(bytes int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return net.ErrClosed
+	}
+	raw, err := s.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return errors.Join(raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	}), err)
+}
+
 // SetReading sets whether the server reads what its agents send. While it does not, as if its process hung,
 // its system takes in what fits into its buffers.
 func (s *Server) SetReading(reads bool) {
