A server's time begins when its machine has the request, not with the client's last byte

Cause: Router.BodyComplete ended the attempt at now + the class's objective once the client's last byte had arrived, and watchWriting stopped to look from then on; buffered bodies had the same clock from the start of the attempt. A clock that starts by an event at one end, for a duty of the other end.

Change: an attempt that passes on a streamed body goes on as long as its client waits (no other attempt can take its place). Of a buffered body of over 4 KiB, the attempt's timeout counts from the last moment at which the server's machine had not acknowledged all of it (TCP_INFO), or from its last progress (routing.RequestUptake, without input or output). A server's latency counts from then too, and a server that was still taking a request when the client's time was over is not blamed. A server that takes nothing still ends the attempt as before: CheckServerStall, now by what is acknowledged and not by how long one write takes.

The time announced to the server is the client's, as before at most what is left.

--- a/internal/agent/actor.go
+++ b/internal/agent/actor.go
@@ -72,7 +72,7 @@
 		a.endRequest(now, m.request)
 	case bodyComplete:
 		if m.request.isPassed {
-			a.carryOutAll(a.router.BodyComplete(now, a.clock.at(m.at), m.request.id))
+			a.carryOutAll(a.router.BodyComplete(a.clock.at(m.at), m.request.id))
 		}
 	case timerDue:
 		a.carryOutAll(a.router.TimerDue(now, m.tag))
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -23,6 +23,9 @@
 	cancel    context.CancelCauseFunc // stops the timer as well
 	timer     *time.Timer             // calls timeOut at giveUpAt; accessed only by the agent's actor
 	writeBy   time.Time               // when it must have been written; zero: at any time
+	// serverTime is the endpoint's time for a buffered request, counted from when it has the last byte.
+	serverTime time.Duration
+	uptake     atomic.Pointer[uptakeWatch] // nil: not watched
 
 	// Accessed only by the attempt's goroutine.
 	sent    time.Time // start of the endpoint's time
@@ -38,9 +41,9 @@
 type attemptDeadlines struct {
 	giveUpAt time.Time // end of the attempt, unless its response has begun
 	deadline time.Time // of the request's final response
-	// timeoutAfterBody is the attempt's timeout counted from the last byte of the body, until that
-	// is received; else zero.
-	timeoutAfterBody time.Duration
+	// timeAfterBody is the client's time counted from the last byte of the body, until that is received; else
+	// zero.
+	timeAfterBody time.Duration
 }
 
 // newAttempt returns an attempt for a StartAttempt output of the router. Its timeout starts now.
@@ -53,7 +56,7 @@
 	a.deadlines.Store(&attemptDeadlines{giveUpAt, c.time(start.Deadline), start.After})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	a.ctx = ctx
-	a.cancelCtx = cancel
+	a.cancelCtx, a.serverTime = cancel, giveUpAt.Sub(a.sent)
 	a.timer = time.AfterFunc(giveUpAt.Sub(a.sent), a.timeOut)
 	a.cancel = func(why error) { a.timer.Stop(); cancel(why) }
 	if start.WriteBy != 0 {
@@ -71,9 +74,12 @@
 	lateReadTime = 20 * time.Millisecond
 )
 
-// timeOut ends the attempt. If the timer is late, the response may have arrived in time all the same, and is
-// read first.
+// timeOut ends the attempt, unless the endpoint is still taking its request. If the timer is late, the response may
+// have arrived in time all the same, and is read first.
 func (a *attempt) timeOut() {
+	if a.extendForUptake() {
+		return
+	}
 	if time.Since(a.deadlines.Load().giveUpAt) > maxTimerDelay {
 		time.AfterFunc(lateReadTime, func() { a.cancelCtx(routing.TimedOut) })
 		return
@@ -81,6 +87,26 @@
 	a.cancelCtx(routing.TimedOut)
 }
 
+// extendForUptake gives the attempt its time anew if the endpoint has had the whole request only for a part of it, or
+// is still taking it, and reports whether it did. The request's deadline stays.
+func (a *attempt) extendForUptake() bool {
+	watch, d := a.uptake.Load(), a.deadlines.Load()
+	if watch == nil || a.request.Rest != nil {
+		return false
+	}
+	end := watch.attemptEnd(d.giveUpAt, a.serverTime)
+	if end.After(d.deadline) {
+		end = d.deadline
+	}
+	if !end.After(time.Now()) {
+		return false
+	}
+	if a.deadlines.CompareAndSwap(d, &attemptDeadlines{giveUpAt: end, deadline: d.deadline}) {
+		a.timer.Reset(time.Until(end))
+	}
+	return true
+}
+
 // waitUntilWritable waits for delay, after which a reused connection may be written. It returns early if the
 // connection ends or the attempt is given up.
 func (a *attempt) waitUntilWritable(conn *transport.UpstreamConn, delay time.Duration) {
@@ -155,6 +181,9 @@
 // recordWritten records that the last byte has been written.
 func (a *attempt) recordWritten() {
 	a.written = time.Now()
+	if watch := a.uptake.Load(); watch != nil {
+		watch.recordWritten()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.isWhole = true
@@ -172,19 +201,19 @@
 func (a *attempt) announcedTimeout() time.Duration {
 	d := a.deadlines.Load()
 	switch {
-	case d.timeoutAfterBody == 0:
+	case d.timeAfterBody == 0:
 		return time.Until(d.giveUpAt)
 	case a.request.ClientWaited == nil:
-		return d.timeoutAfterBody
+		return d.timeAfterBody
 	}
-	return max(min(d.timeoutAfterBody, a.request.TimeLeft-a.request.ClientWaited()), 0)
+	return max(min(d.timeAfterBody, a.request.TimeLeft-a.request.ClientWaited()), 0)
 }
 
-// latencyStart returns the start of the endpoint's time: for a streamed request body, when its
-// last byte was written.
+// latencyStart returns the start of the endpoint's time: when it can have had the last byte of a request that took it
+// long to take.
 func (a *attempt) latencyStart() time.Time {
-	if a.request.Rest != nil && !a.written.IsZero() {
-		return a.written
+	if watch := a.uptake.Load(); watch != nil && !a.written.IsZero() {
+		return watch.serverStart(a.written)
 	}
 	return a.sent
 }
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -112,8 +112,10 @@
 	}
 	mayWrite := true
 	r, timeout := a.request.Request, a.announcedTimeout()
-	if r.Rest != nil {
-		defer e.watchWriting()()
+	if r.Rest != nil || len(r.Body) > minWatchedBody {
+		watch := startUptakeWatch(e.conn, e.upstream.settings.clock, e.checkStall)
+		a.uptake.Store(watch)
+		defer watch.stop()
 	}
 	e.response, e.reusable, e.err = e.conn.RoundTrip(a.ctx, transport.UpstreamRequest{
 		Head: protocol.AppendUpstreamRequest(nil, r, timeout),
@@ -134,30 +136,18 @@
 	}
 }
 
-// watchWriting checks every progressInterval that the endpoint takes the request's body, until stop is called
-// or the body's last byte has arrived: from then on the attempt's timeout applies.
-func (e *exchange) watchWriting() (stop func()) {
-	a, conn, done := e.attempt, e.conn, make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(progressInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			timeout := a.deadlines.Load().timeoutAfterBody
-			if timeout == 0 {
-				return
-			}
-			if reason := routing.CheckServerStall(conn.WriteStalledFor(), timeout); reason != routing.NotEnded {
-				a.cancel(reason)
-				return
-			}
-		}
-	}()
-	return func() { close(done) }
+// checkStall ends the attempt if the endpoint takes nothing of a streamed body. That of a buffered one ends by its
+// timeout.
+func (e *exchange) checkStall() {
+	a := e.attempt
+	watch, clientTime := a.uptake.Load(), a.deadlines.Load().timeAfterBody
+	if watch == nil || clientTime == 0 { // from the last byte on, the attempt ends with the client's time
+		return
+	}
+	if reason := routing.CheckServerStall(watch.stalledFor(), clientTime); reason != routing.NotEnded {
+		logAttemptStalled(a, watch.stalledFor())
+		a.cancel(reason)
+	}
 }
 
 // startStreaming reports that the response has begun, and checks its limits every
@@ -193,10 +183,17 @@
 	e.result.LocalFault = e.result.LocalFault || clientStopped || notTried
 	e.result.EndReason = endReasonOf(e.attempt.ctx, e.err)
 	if e.result.EndReason == routing.TimedOut {
+		e.result.WasBeingTaken = e.isBeingTaken()
 		e.result.LocalDelay = max(time.Since(e.attempt.deadlines.Load().giveUpAt), 0)
 	}
 }
 
+// isBeingTaken reports whether the endpoint is still taking the request: it works, only not fast enough.
+func (e *exchange) isBeingTaken() bool {
+	watch := e.attempt.uptake.Load()
+	return watch != nil && watch.isBeingTaken()
+}
+
 // returnedConnection returns the message that returns the connection to the upstream's actor.
 func (e *exchange) returnedConnection() connectionReturned {
 	m := connectionReturned{checkout: e.checkout}
--- a/internal/agent/requestlog.go
+++ b/internal/agent/requestlog.go
@@ -61,6 +61,13 @@
 	if logsRequests() {
 		slog.Debug("attempt ended", "id", a.request.CorrelationID, "attempt", a.number, "server", a.endpoint,
 			"phase", attemptPhaseNames[result.Phase], "reason", result.EndReason, "took", result.Latency,
-			"late", result.LocalDelay)
+			"late", result.LocalDelay, "being_taken", result.WasBeingTaken, "body_consumed", result.BodyConsumed)
+	}
+}
+
+func logAttemptStalled(a *attempt, stalledFor time.Duration) {
+	if logsRequests() {
+		slog.Debug("attempt stalled", "id", a.request.CorrelationID, "attempt", a.number, "server", a.endpoint,
+			"stalled_for", stalledFor)
 	}
 }
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -45,20 +45,9 @@
 	if req == nil {
 		return
 	}
-	until, afterBody := req.deadline, time.Duration(0)
-	if act.After != 0 {
-		until = min(until, now+act.After)
-	}
-	if req.clientTimeLeft > 0 { // the timeout counts from the last byte of the body
-		until, afterBody = req.deadline, req.clientTimeLeft
-		if act.After != 0 {
-			afterBody = min(afterBody, act.After)
-		}
-	}
+	until, afterBody := req.attemptTimes(now, act.After)
 	number := len(req.attempts)
-	req.attempts = append(req.attempts, attemptState{
-		endpoint: act.Server, timeoutAfterBody: afterBody, startedAt: now,
-	})
+	req.attempts = append(req.attempts, attemptState{endpoint: act.Server, startedAt: now})
 	req.openAttempts++
 	if !r.maySend(req, act.Server) || until <= now || number >= r.maxAttempts {
 		r.notStarted = append(r.notStarted, notStarted{req, number})
@@ -76,6 +65,16 @@
 	})
 }
 
+// attemptTimes returns when an attempt ends, and its timeout counted from the last byte of the request's body, zero
+// if that is received. An attempt that may pass on a body that can't be sent again goes on as long as its client
+// waits: no other attempt can take its place, and the server's time begins only when it has taken the body.
+func (req *requestState) attemptTimes(now, timeout time.Duration) (until, afterBody time.Duration) {
+	if req.hasStreamedBody || timeout == 0 {
+		return req.deadline, req.clientTimeLeft
+	}
+	return min(req.deadline, now+timeout), 0
+}
+
 // maySend reports whether the request can be sent to the endpoint and still needs a response.
 func (r *Router) maySend(req *requestState, endpoint string) bool {
 	e := r.endpoints[endpoint]
--- a/internal/routing/attemptresult.go
+++ b/internal/routing/attemptresult.go
@@ -61,9 +61,12 @@
 	Refused   bool          // the endpoint's machine refused the connection: nothing listens there
 	// LocalFault means that this agent lacked a resource or did not write, or that the client stopped
 	// sending.
-	LocalFault   bool
-	BodyConsumed bool          // a part of the request's body is no longer buffered: it can't be sent again
-	LocalDelay   time.Duration // time by which this agent was late to end the attempt
+	LocalFault bool
+	// WasBeingTaken means that the time was over while the endpoint was taking the request: it says nothing of how
+	// fast the endpoint responds.
+	WasBeingTaken bool
+	BodyConsumed  bool          // a part of the request's body is no longer buffered: it can't be sent again
+	LocalDelay    time.Duration // time by which this agent was late to end the attempt
 }
 
 // IsUnanswered reports whether the attempt timed out on a reused connection without any byte of a response,
@@ -87,7 +90,7 @@
 		ConnectionReused:  s.Reused,
 		IdleFor:           s.IdleFor,
 		ConnectionRefused: s.Refused,
-		LocalShortage:     s.LocalFault,
+		LocalShortage:     s.LocalFault || s.WasBeingTaken,
 		ActedLateBy:       s.LocalDelay,
 	}
 }
--- a/internal/routing/output.go
+++ b/internal/routing/output.go
@@ -19,9 +19,9 @@
 	// received: the attempt's timeout no longer applies, and ResponseProgress.CheckLimits does from now on.
 	Respond OutputKind = iota
 	// StartAttempt sends the request to an endpoint: Request, Attempt, Endpoint, At (when it times out),
-	// Deadline, Streaming (its response is forwarded from the first byte on), After (its timeout counted
-	// from the request's last byte, if that has not been received; else zero), WriteBy (when it must have
-	// been written; zero: at any time).
+	// Deadline, Streaming (its response is forwarded from the first byte on), After (the client's time
+	// counted from the request's last byte, if that has not been received; else zero), WriteBy (when it must
+	// have been written; zero: at any time).
 	StartAttempt
 	// RescheduleAttempt changes when an attempt times out, now that its request is complete: Request,
 	// Attempt, At, Deadline.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -75,6 +75,7 @@
 	streaming        bool          // responses are forwarded from the first byte on
 	answered         bool          // the final response was given, or the client has left
 	clientTimeLeft   time.Duration // counted from the last byte of the body, until that is received; else zero
+	hasStreamedBody  bool          // part of the body is streamed
 	bodyConsumed     bool          // part of the body is no longer buffered: it can't be sent again
 	streamingAttempt int           // number of the attempt whose response is being streamed, plus 1; zero: none
 	attempts         []attemptState
@@ -83,11 +84,10 @@
 
 // attemptState is one attempt of a request.
 type attemptState struct {
-	endpoint         string
-	running          bool // started and not ended
-	startedAt        time.Duration
-	unprocessed      bool          // ended, and cannot have been processed
-	timeoutAfterBody time.Duration // timeout counted from the last byte of the request's body
+	endpoint    string
+	running     bool // started and not ended
+	startedAt   time.Duration
+	unprocessed bool // ended, and cannot have been processed
 }
 
 // notStarted is an attempt that could not be started.
@@ -127,6 +127,7 @@
 ) (uint32, []Output) {
 	r.out = r.out[:0]
 	req := r.register(in)
+	req.hasStreamedBody = in.Rest != nil
 	req.deadline = sent + in.TimeLeft - ResponseMargin
 	if in.BodyComplete != nil { // the timeout counts from the body's last byte
 		req.clientTimeLeft, req.deadline = in.TimeLeft, now+MaxBodyTime
@@ -174,8 +175,8 @@
 }
 
 // BodyComplete handles the receipt of the last byte of a request's body: its timeout counts from when that
-// byte arrived, which may have been some time ago.
-func (r *Router) BodyComplete(now, arrivedAt time.Duration, id uint32) []Output {
+// byte arrived, which may have been some time ago. Its attempts go on until then: see attemptTimes.
+func (r *Router) BodyComplete(arrivedAt time.Duration, id uint32) []Output {
 	r.out = r.out[:0]
 	req := r.requests[id]
 	if req == nil || req.clientTimeLeft == 0 {
@@ -185,8 +186,7 @@
 	for number, a := range req.attempts {
 		if a.running {
 			r.emit(Output{
-				Kind: RescheduleAttempt, Request: id, Attempt: number, Deadline: req.deadline,
-				At: min(req.deadline, now+a.timeoutAfterBody),
+				Kind: RescheduleAttempt, Request: id, Attempt: number, Deadline: req.deadline, At: req.deadline,
 			})
 		}
 	}
--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -31,6 +31,16 @@
 	return age, true
 }
 
+// sentBytes returns how many bytes of a connection its peer's machine has acknowledged, and whether it has yet to
+// acknowledge others. It is false where the system does not tell.
+func sentBytes(fd uintptr) (acknowledged uint64, hasPending, isKnown bool) {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil || info.Rcv_mss == 0 {
+		return 0, false, false
+	}
+	return info.Bytes_acked, info.Unacked > 0 || info.Notsent_bytes > 0, true
+}
+
 // acceptQueueLength returns how many connections wait to be accepted on a listening socket.
 func acceptQueueLength(fd uintptr) int {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/internal/transport/streamedwrite.go
+++ b/internal/transport/streamedwrite.go
@@ -10,6 +10,7 @@
 
 	"dunestep/internal/balancer"
 	"dunestep/internal/bodystream"
+	"dunestep/internal/routing"
 )
 
 const (
@@ -130,10 +131,10 @@
 	return false, nil
 }
 
-// writeParts writes parts of a request, and records for how long the server takes nothing of them.
+// writeParts writes parts of a request.
 func (u *UpstreamConn) writeParts(parts net.Buffers) error {
-	u.writeStall.begin()
-	defer u.writeStall.end()
+	u.isWriting.Store(true)
+	defer u.isWriting.Store(false)
 	return connWriter{u.conn}.writeBuffers(parts)
 }
 
@@ -143,25 +144,14 @@
 	return err != nil || isWritable
 }
 
-// WriteStalledFor returns for how long the server has taken nothing of a streamed request although there was
-// something to write; zero while nothing is being written.
-func (u *UpstreamConn) WriteStalledFor() time.Duration { return u.writeStall.duration() }
-
-// writeStall measures a write that is under way. It is safe for concurrent use.
-type writeStall struct {
-	since atomic.Pointer[time.Time] // start of the write; nil: none is under way
-}
-
-func (w *writeStall) begin() {
-	now := time.Now()
-	w.since.Store(&now)
-}
-
-func (w *writeStall) end() { w.since.Store(nil) }
-
-func (w *writeStall) duration() time.Duration {
-	if since := w.since.Load(); since != nil {
-		return time.Since(*since)
-	}
-	return 0
+// Uptake returns what the server's machine has taken of what was written; false where the system does not tell.
+// Whether the request's last byte was written, the caller knows.
+func (u *UpstreamConn) Uptake() (sample routing.UptakeSample, isKnown bool) {
+	// Asked first: what a write that has ended has handed over is pending, or acknowledged.
+	isWriting := u.isWriting.Load()
+	err := u.rawConn.Control(func(fd uintptr) {
+		sample.Acknowledged, sample.HasPending, isKnown = sentBytes(fd)
+	})
+	sample.HasPending = sample.HasPending || isWriting
+	return sample, isKnown && err == nil
 }
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,8 +48,7 @@
 	release   func()
 	copies    secondCopies
 
-	// writeStall measures for how long the server takes nothing of a streamed request.
-	writeStall writeStall
+	isWriting atomic.Bool // a part of a streamed request is being written
 
 	mu       sync.Mutex
 	current  *UpstreamRequest // request in flight; nil if there is none
