A connection whose next request is there already lets others run first

Cause: the agent has one processor. A goroutine of net/http that finds its next request in the connection's input waits for nothing, and runs until the scheduler stops it, after 10 ms. A request of another client changes goroutines some ten times on its way; at each, up to eight others had 10 ms each. So the queue of decisions grew, attempts ended by their time, an outage was found, and thousands of messages of requests that had been answered at the end of their time waited before the rest.

Change: after each response the connection's goroutine goes to the end of the scheduler's queue.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -70,6 +71,9 @@
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if s == http.StateIdle {
 				c.(*downstreamConn).responseWritten()
+				// Others first: where the next request is there already, this goroutine would not wait for anything for
+				// as long as the scheduler lets it run. A few such connections would make all others late.
+				runtime.Gosched()
 			}
 		},
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
