One connection has at most one request in the queue of decisions

Cause: a request whose time is over is answered by its connection's goroutine, whatever the decisions' actor does. Its two messages stay in the queue, and the connection goes on with its next request: the queue was bounded by nothing, though the mailbox says that its senders bound it.

Change: the next request on a connection waits, as long as it has time, until the actor has handled the messages of the one before (Response.Settled, Request.Previous); then it is queued, else refused. One without any time left is refused without being queued.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -16,6 +16,7 @@
 	id       uint32
 	isPassed bool                   // it was passed to the router, and has its number
 	response chan protocol.Response // capacity 1, for the one final response
+	settled  chan struct{}          // closed when nothing of it is queued any more, if its client's goroutine ended it; nil: not needed
 	attempts []*attempt             // by number; nil: not started
 
 	mu          sync.Mutex
@@ -57,6 +58,9 @@
 		a.carryOutAll(a.router.ClientGone(now, r.id))
 	}
 	r.closeUndeliveredResponse()
+	if r.settled != nil {
+		close(r.settled)
+	}
 }
 
 const (
@@ -77,11 +81,15 @@
 		return protocol.Response{}, false
 	}
 	useKnownArrival(r)
+	if response, isRefused := waitForPrevious(ctx, r); isRefused {
+		r.Release()
+		return response, ctx.Err() == nil
+	}
 	if response, isRefused := a.openID(ctx, r); isRefused {
 		r.Release()
 		return response, true
 	}
-	tracked := &request{Request: r, response: make(chan protocol.Response, 1)}
+	tracked := &request{Request: r, response: make(chan protocol.Response, 1), settled: make(chan struct{})}
 	a.mail.put(tracked)
 	complete := r.BodyComplete
 	timeOver := time.NewTimer(timeUntilOver(r))
@@ -97,6 +105,7 @@
 		case <-timeOver.C:
 			if response, ended := tracked.endInTime(); ended {
 				a.mail.put(requestOver{tracked})
+				response.Settled = tracked.settled
 				return response, true
 			}
 			timeOver.Reset(time.Hour) // the response is on its way
@@ -108,6 +117,30 @@
 	}
 }
 
+// waitForPrevious waits until nothing of the request before on the same connection is queued, as long as the request has
+// time. A request that was answered at the end of its time may still be queued: without this wait, one connection could
+// queue more and more of them, and all others would wait behind them. A request that has no time left is refused, without
+// being queued.
+func waitForPrevious(ctx context.Context, r *protocol.Request) (refusal protocol.Response, isRefused bool) {
+	refusal = protocol.Response{Kind: protocol.Rejected, Body: []byte(routing.RejectedText), Settled: r.Previous}
+	left := timeUntilOver(r)
+	if left <= 0 {
+		return refusal, true
+	}
+	if r.Previous == nil {
+		return protocol.Response{}, false
+	}
+	timeOver := time.NewTimer(left)
+	defer timeOver.Stop()
+	select {
+	case <-r.Previous:
+		return protocol.Response{}, false
+	case <-timeOver.C:
+	case <-ctx.Done():
+	}
+	return refusal, true
+}
+
 // useKnownArrival sets when a request arrived whose body is streamed, if the body has arrived already: its
 // attempts must not be given more time than its client has left.
 func useKnownArrival(r *protocol.Request) {
--- a/internal/protocol/response.go
+++ b/internal/protocol/response.go
@@ -34,6 +34,8 @@
 	OverQuota   bool           // whether it was rejected because the tenant is over its quota
 	Quota       balancer.Quota // quota of the tenant, sent with a rejection; not sent if zero
 	Streaming   bool           // whether BodyStream may not be complete yet
+	// Settled is closed when nothing of the request is queued any more; nil: nothing is. It is not sent.
+	Settled <-chan struct{}
 }
 
 // rejectionStatus returns 429 for a tenant over its quota and 503 for a service without capacity.
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -64,18 +64,19 @@
 	mu                sync.Mutex
 	state             connState
 	stateSince        time.Time
-	isHeaderRead      bool      // in connReading: the request's header was read
-	receivedAt        time.Time // of the latest bytes; of a backlog, the earliest possible time
-	hasBacklog        bool      // bytes arrived before a Read waited for them, and the kernel may have more
-	backlogReadAt     time.Time // with hasBacklog: when the kernel last had no more
-	isPaused          bool      // nothing is read: the request waits for memory or an upstream server
-	pausedAt          time.Time // start of the latest pause
-	resumedAt         time.Time // when reading continued after a pause
-	closesUnlessInput bool      // the current Read ends the connection unless there is input
-	isBodyAbandoned   bool      // the rest of the current body is not needed
-	skipsLinger       bool      // Close does not wait for the client to close its side
-	wasEvictedIdle    bool      // evicted with nothing open on it
-	requestsStarted   int       // requests whose header was passed to a handler
+	isHeaderRead      bool            // in connReading: the request's header was read
+	receivedAt        time.Time       // of the latest bytes; of a backlog, the earliest possible time
+	hasBacklog        bool            // bytes arrived before a Read waited for them, and the kernel may have more
+	backlogReadAt     time.Time       // with hasBacklog: when the kernel last had no more
+	isPaused          bool            // nothing is read: the request waits for memory or an upstream server
+	pausedAt          time.Time       // start of the latest pause
+	resumedAt         time.Time       // when reading continued after a pause
+	closesUnlessInput bool            // the current Read ends the connection unless there is input
+	isBodyAbandoned   bool            // the rest of the current body is not needed
+	skipsLinger       bool            // Close does not wait for the client to close its side
+	wasEvictedIdle    bool            // evicted with nothing open on it
+	requestsStarted   int             // requests whose header was passed to a handler
+	previous          <-chan struct{} // see protocol.Request.Previous
 	framing           requestFraming
 	closeWatch        closeWatch
 	// idleTimer checks whether the connection has been idle long enough to be closed. It keeps running while a
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -231,7 +231,7 @@
 	if r.ContentLength != 0 {
 		_ = body.control.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
-	response, isOwed := f.handler.HandleRequest(ctx, op)
+	response, isOwed := f.handle(ctx, conn, op)
 	if !isOwed {
 		panic(http.ErrAbortHandler) // closes the connection: a return would write an empty 200
 	}
@@ -239,6 +239,15 @@
 	f.writeResponse(ctx, w, r, x, response, requestMetrics)
 }
 
+// handle passes a request to the handler, with what may still be queued of the one before on its connection. Only the
+// connection's goroutine calls it.
+func (f *Listener) handle(ctx context.Context, conn *downstreamConn, op *protocol.Request) (protocol.Response, bool) {
+	op.Previous = conn.previous
+	response, isOwed := f.handler.HandleRequest(ctx, op)
+	conn.previous = response.Settled
+	return response, isOwed
+}
+
 // decodeErrorResponse returns the response to a request that could not be decoded.
 func decodeErrorResponse(err error) protocol.Response {
 	var tooLong *http.MaxBytesError
@@ -267,7 +276,7 @@
 	defer cancelRequest()
 	op.ArrivedAt, op.ClientGone = time.Now(), conn.isClosedByClient
 	up := startUpload(op, body, grant, conn, requestMetrics, cancelRequest)
-	response, isOwed := f.handler.HandleRequest(requestCtx, op)
+	response, isOwed := f.handle(requestCtx, conn, op)
 	defer conn.responseDone()
 	isComplete, err := up.stop()
 	if isComplete { // otherwise net/http must not wait for the rest
