Connections whose next requests are there already take turns

Also a connection that the agent closes: what its client still sends at full speed was discarded as fast as it came, for a second.

Change: one connection at a time goes on to a request that was read with the one before (transport.turnQueue), after everything else that can run. The turn ends when the request is read, or has to be waited for, or the connection closes. Input that is discarded is read in turns, 4 KiB at a time (32 KiB before).

--- a/cmd/dunestep/floods_test.go
+++ b/cmd/dunestep/floods_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // floodRequest returns the n-th request that one connection of a flood sends.
@@ -187,3 +190,54 @@
 	}
 	return nil
 }
+
+// Guards against connections that keep others from their turn: behind a request that is answered, they send a part of the next
+// one, of its header or of its body, and nothing more.
+func TestHalfRequestBehindAnotherHoldsUpNoOther(t *testing.T) {
+	w := start(t, 2, usePlainBinary)
+	whole := validFlood(900)
+	post := "POST /rezervare/x HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %016x\r\nX-Account: acme\r\nX-Time-Left-Ms: 900\r\n" +
+		"Content-Length: 10\r\n\r\n12345"
+	for i := range 20 {
+		half := whole(1000 + i)
+		w.sendRaw(whole(2000+i) + half[:len(half)/2])
+		w.sendRaw(whole(3000+i) + fmt.Sprintf(post, 4000+i))
+	}
+	for i := range 20 {
+		c := w.sendRaw(whole(5000+2*i) + whole(5001+2*i))
+		_ = c.SetReadDeadline(time.Now().Add(900 * time.Millisecond))
+		in := bufio.NewReader(c)
+		for range 2 {
+			answer, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, answer.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer.StatusCode)
+		}
+	}
+}
+
+// Guards against a connection that ends while it has its turn, and keeps it: behind a request that is answered, what follows is
+// malformed, or its client closes or resets the connection.
+func TestMalformedRequestBehindAnotherHoldsUpNoOther(t *testing.T) {
+	w := start(t, 2, usePlainBinary)
+	whole := validFlood(900)
+	for i := range 20 {
+		w.sendRaw(whole(1000+i) + "GET /consult HTTP/9\r\n\r\n" + whole(2000+i))
+		w.sendRaw(whole(3000+i) + "Host : x\r\n\r\n" + whole(4000+i))
+		closeConn(w.sendRaw(whole(5000+i) + whole(6000+i)).(*net.TCPConn))
+		abortConn(w.sendRaw(whole(7000+i) + whole(8000+i)).(*net.TCPConn))
+	}
+	for i := range 10 {
+		c := w.sendRaw(whole(9000+2*i) + whole(9001+2*i))
+		_ = c.SetReadDeadline(time.Now().Add(900 * time.Millisecond))
+		in := bufio.NewReader(c)
+		for range 2 {
+			answer, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, answer.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer.StatusCode)
+		}
+	}
+}
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -58,6 +57,7 @@
 	formats    []protocol.Format // formats that requests on it may have
 	acceptedAt time.Time
 	rawConn    syscall.RawConn
+	turn       turn
 	// readDeadline is when a Read times out; nil: never, or a Read was interrupted.
 	readDeadline atomic.Pointer[time.Time]
 
@@ -98,6 +98,9 @@
 		if err := c.refusal(); err != nil {
 			return 0, err
 		}
+		if c.turn.isHeld.Load() && !c.hasInput() { // the rest of the request has to be waited for
+			c.releaseTurn()
+		}
 		isBacklog := c.hasPendingBacklog()
 		n, err := c.readInput(b)
 		if n == 0 {
@@ -353,6 +356,9 @@
 	if c.state != connIdle {
 		return
 	}
+	if c.hasBacklog && !c.hasInput() { // what comes from now on has not waited for an earlier request
+		c.hasBacklog = false
+	}
 	if c.idleTimer == nil {
 		c.idleTimer = time.AfterFunc(minIdleTime, c.closeIfIdle)
 	} else {
@@ -374,17 +380,34 @@
 // Closing with unread input would reset the connection, and the client's kernel would discard the response
 // before the client has read it.
 func (c *downstreamConn) Close() error {
+	c.releaseTurn()
 	c.mu.Lock()
 	lingers := c.startClosing()
 	c.mu.Unlock()
 	if lingers {
-		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn}) // until the deadline or the client's close
+		c.discardInput()
 	}
 	err := c.Conn.Close()
 	c.deregister()
 	return err
 }
 
+// discardBytes is how much input is discarded at once, in bytes.
+const discardBytes = 4 << 10
+
+// discardInput reads and discards input until the deadline or the client's close. A client that sends at full speed is
+// read in turns.
+func (c *downstreamConn) discardInput() {
+	buffer := make([]byte, discardBytes)
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+		c.turn.acquire(c.conns.turns)
+		c.releaseTurn()
+	}
+}
+
 // startClosing closes the write side; input from now on is discarded. It returns false if the connection is
 // closed, or must be closed without lingering. The caller holds mu.
 func (c *downstreamConn) startClosing() (lingers bool) {
@@ -416,6 +439,7 @@
 
 // CloseWrite closes the write side. net/http calls it, then waits a while before it calls Close.
 func (c *downstreamConn) CloseWrite() error {
+	c.releaseTurn()
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
@@ -424,6 +448,7 @@
 
 // deregister releases the connection's descriptor, once.
 func (c *downstreamConn) deregister() {
+	c.releaseTurn()
 	c.mu.Lock()
 	wasClosed := c.state == connClosed
 	c.state = connClosed
--- a/internal/transport/downstreamlistener.go
+++ b/internal/transport/downstreamlistener.go
@@ -38,6 +38,7 @@
 	conns       map[*downstreamConn]struct{}
 	allClosed   chan struct{} // receives a value when the last connection was closed
 	pauses      pauseMonitor
+	turns       turnQueue
 }
 
 // Accept waits for a descriptor, then for a client.
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"syscall"
 	"time"
 
@@ -57,7 +56,7 @@
 ) *Listener {
 	f := &Listener{handler: handler, bodies: bodies, metrics: counts, conns: &downstreamConns{
 		descriptors: d,
-		conns:       map[*downstreamConn]struct{}{}, allClosed: make(chan struct{}, 1),
+		conns:       map[*downstreamConn]struct{}{}, allClosed: make(chan struct{}, 1), turns: newTurnQueue(),
 	}}
 	f.server = &http.Server{
 		// Not a ServeMux: it would clean paths and redirect, and a request's target is forwarded unchanged.
@@ -71,9 +70,7 @@
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if s == http.StateIdle {
 				c.(*downstreamConn).responseWritten()
-				// Others first: where the next request is there already, this goroutine would not wait for anything for
-				// as long as the scheduler lets it run. A few such connections would make all others late.
-				runtime.Gosched()
+				c.(*downstreamConn).letOthersRun()
 			}
 		},
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
@@ -164,6 +161,7 @@
 // serveHTTP answers one request: a health check itself, any other by the handler.
 func (f *Listener) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r)
+	conn.releaseTurn()
 	x := newExchange(conn.formats, r)
 	deadline, isFramingClear := conn.startRequest(r)
 	control := http.NewResponseController(w)
