Client connections have a bound of memory, and requests that are not complete pay for it

Cause: only bodies had a budget. A connection's buffers, stacks and headers (16 KB; with a long header 38 KB; in flight more) were bounded by the number of descriptors alone, which 32 MB do not hold.

Change: what connections hold is counted before they are accepted (routing.Descriptors, ConnectionMemory) and given back with the answer and the close. At the bound no client is accepted, and connections whose requests are not complete pay, the longest silent first; a request that waits for memory for a body that has not arrived is answered 503. A request that was read to its last byte is never evicted, also where its handler was not scheduled yet: before, the check went by whether the handler had begun (seen once here: 4 usual clients' new connections closed with no answer).

The price: new connections wait.

--- a/cmd/dunestep/limits.go
+++ b/cmd/dunestep/limits.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"dunestep/internal/protocol"
+	"dunestep/internal/routing"
 	"dunestep/internal/transport"
 )
 
@@ -64,7 +65,9 @@
 	own.Limits = p.upgrade.share.apply(own.Limits)
 	applyRuntimeLimits(own.Limits)
 	p.descriptors.SetLimit(p.connectionDescriptors(own.Limits))
-	p.bodies.Set(own.bodyLimits())
+	bodyBytes, rules := own.bodyLimits()
+	p.bodies.Set(bodyBytes, rules)
+	p.descriptors.SetMemoryLimit(routing.ConnectionMemory(own.Limits.MemoryMB<<20, bodyBytes))
 }
 
 // connectionDescriptors returns how many descriptors remain for connections beside those reserved for the
--- a/internal/transport/arrivals_test.go
+++ b/internal/transport/arrivals_test.go
@@ -32,7 +32,7 @@
 func TestArrivalOfDataReadLate(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	client, accepted, raw := connectedPair(t)
-	c := &downstreamConn{Conn: accepted, rawConn: raw, conns: &downstreamConns{}}
+	c := &downstreamConn{Conn: accepted, rawConn: raw, conns: &downstreamConns{descriptors: NewDescriptors(100, func() {})}}
 	_, err := io.WriteString(client, "GET / HTTP/1.1\r\n\r\n")
 	require.NoError(t, err)
 	sentAt := time.Now()
@@ -58,7 +58,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, accepted, raw := connectedPair(t)
-			c := &downstreamConn{Conn: accepted, rawConn: raw, conns: &downstreamConns{}}
+			c := &downstreamConn{Conn: accepted, rawConn: raw, conns: &downstreamConns{descriptors: NewDescriptors(100, func() {})}}
 			require.False(t, c.isClosedByClient())
 			_, err := io.WriteString(client, testRequest+testRequest)
 			require.NoError(t, err)
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -22,6 +22,7 @@
 	released                     chan struct{} // receives a value when a descriptor was released
 	reclaimIdle                  func()        // requests that idle upstream connections be closed
 	downstreamFull, upstreamFull rateLimitedLog
+	memoryFull                   rateLimitedLog
 }
 
 // NewDescriptors returns Descriptors for a process that may hold limit descriptors. reclaimIdle is called
@@ -41,6 +42,39 @@
 	d.allocation.SetLimit(limit)
 }
 
+// SetMemoryLimit changes how many bytes client connections may hold; zero: any number.
+func (d *Descriptors) SetMemoryLimit(bytes int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.allocation.SetMemoryLimit(bytes)
+}
+
+// addMemory records that client connections hold more bytes, or less, and reports whether they hold all that they may.
+func (d *Descriptors) addMemory(bytes int64) (isFull bool) {
+	d.mu.Lock()
+	d.allocation.AddMemory(bytes)
+	isFull = d.allocation.IsMemoryFull()
+	d.mu.Unlock()
+	if bytes < 0 {
+		d.signalReleased()
+	}
+	return isFull
+}
+
+// isMemoryFull reports whether client connections hold all the memory that they may.
+func (d *Descriptors) isMemoryFull() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.allocation.IsMemoryFull()
+}
+
+// ClientMemory returns how many bytes client connections hold, by the estimates of package routing.
+func (d *Descriptors) ClientMemory() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.allocation.Memory()
+}
+
 // InUse returns how many descriptors the process holds, including those that are not connections.
 func (d *Descriptors) InUse() int {
 	d.mu.Lock()
@@ -82,7 +116,7 @@
 			return true
 		}
 		if !evictFor(waiting(), evict) {
-			d.downstreamFull.warn("no file descriptor is available", "for", "a client")
+			d.warnFull()
 			if !isFull {
 				d.reclaimIdle()
 			}
@@ -99,6 +133,15 @@
 	}
 }
 
+// warnFull logs that no client can be accepted.
+func (d *Descriptors) warnFull() {
+	if d.isMemoryFull() {
+		d.memoryFull.warn("no memory is available for another client connection", "held_bytes", d.ClientMemory())
+		return
+	}
+	d.downstreamFull.warn("no file descriptor is available", "for", "a client")
+}
+
 // maxEvictions is the maximum number of connections that are evicted at once. Each takes up to
 // closeGracePeriod to end, so that one after the other a crowd would keep clients waiting for seconds.
 const maxEvictions = 16
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -71,12 +71,14 @@
 	isPaused          bool            // nothing is read: the request waits for memory or an upstream server
 	pausedAt          time.Time       // start of the latest pause
 	resumedAt         time.Time       // when reading continued after a pause
+	refuseMemory      func()          // ends the wait of the current body for its first memory; nil: it does not wait
 	closesUnlessInput bool            // the current Read ends the connection unless there is input
 	isBodyAbandoned   bool            // the rest of the current body is not needed
 	skipsLinger       bool            // Close does not wait for the client to close its side
 	wasEvictedIdle    bool            // evicted with nothing open on it
 	requestsStarted   int             // requests whose header was passed to a handler
 	previous          <-chan struct{} // see protocol.Request.Previous
+	heldMemory        int64           // see chargeMemory
 	framing           requestFraming
 	closeWatch        closeWatch
 	// idleTimer checks whether the connection has been idle long enough to be closed. It keeps running while a
@@ -125,18 +127,28 @@
 
 // recordInput records bytes that were read, and returns how many of them may be passed on.
 func (c *downstreamConn) recordInput(b []byte, a arrival) (passed int, err error) {
+	passed, isOver, err := c.advance(b, a)
+	if isOver { // others that are less sound pay first
+		c.conns.evict(evictAny)
+	}
+	return passed, err
+}
+
+// advance is recordInput without evictions. isOver reports whether clients hold more memory than they may.
+func (c *downstreamConn) advance(b []byte, a arrival) (passed int, isOver bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch c.state {
 	case connClosed, connClosing:
-		return 0, net.ErrClosed
+		return 0, false, net.ErrClosed
 	case connNew, connIdle:
 		c.setState(connReading)
 	case connBusy: // from here on, unread bytes can hide the client's close from net/http
 		c.startCloseWatch()
 	}
 	c.recordArrival(a)
-	return c.framing.advance(b, c.receivedAt), nil
+	passed = c.framing.advance(b, c.receivedAt)
+	return passed, c.chargeMemory(), nil
 }
 
 // refusal returns why the client's input is not read any more; nil if it is.
@@ -223,6 +235,7 @@
 func (c *downstreamConn) setState(s connState) {
 	if c.state != connClosed && c.state != connClosing {
 		c.state, c.stateSince, c.isHeaderRead = s, time.Now(), false
+		c.chargeMemory()
 	}
 }
 
@@ -248,6 +261,13 @@
 	c.isPaused, c.pausedAt = true, time.Now()
 }
 
+// setRefuseMemory sets what ends the wait of the current body for memory; nil: it does not wait any more.
+func (c *downstreamConn) setRefuseMemory(refuse func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refuseMemory = refuse
+}
+
 // resumeReading ends a pause. It keeps receivedAt, from which the client's time counts.
 func (c *downstreamConn) resumeReading() {
 	c.mu.Lock()
@@ -259,7 +279,7 @@
 // isStalled reports whether a request has begun but makes no progress because its client sends nothing. The
 // caller holds mu.
 func (c *downstreamConn) isStalled(now time.Time) bool {
-	if c.state != connReading || c.isPaused || now.Sub(c.stateSince) < stallTimeout {
+	if c.state != connReading || c.isPaused || c.isRequestComplete() || now.Sub(c.stateSince) < stallTimeout {
 		return false
 	}
 	return !c.isHeaderRead || now.Sub(c.receivedAt) >= stallTimeout && now.Sub(c.resumedAt) >= stallTimeout
@@ -452,6 +472,7 @@
 	c.mu.Lock()
 	wasClosed := c.state == connClosed
 	c.state = connClosed
+	c.chargeMemory()
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
--- a/internal/transport/downstreamlistener.go
+++ b/internal/transport/downstreamlistener.go
@@ -118,14 +118,14 @@
 func (l *downstreamConns) evictionCandidate(scope evictionScope, skipped map[*downstreamConn]bool) (
 	best *downstreamConn, bestState connState, bestSince time.Time,
 ) {
-	now, bestRank := time.Now(), rankIdle+1
+	now, bestRank, isMemoryFull := time.Now(), rankIdle+1, l.descriptors.isMemoryFull()
 	if scope == evictAny {
 		bestRank = rankRecentlyIdle + 1
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		rank, state, since := c.evictionCandidacy(now)
+		rank, state, since := c.evictionCandidacy(now, isMemoryFull)
 		if rank == notEvictable || skipped[c] {
 			continue
 		}
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -45,6 +45,7 @@
 	header         headScanner
 	chunks         chunkScanner
 	bodyLeft       int64          // bytes of the current body not received yet, in inBodyOfLength
+	headerBytes    int64          // of the latest header, as far as it was received
 	headersStarted int            // requests so far
 	unanswered     []requestFrame // whose header is complete and whose response was not written, in order
 	malformed      error          // why the input is malformed; nil: it is not
@@ -76,8 +77,10 @@
 		}
 		f.phase, f.header = inHeader, headScanner{}
 		f.headersStarted++
+		f.headerBytes = 0
 		fallthrough
 	case inHeader:
+		f.headerBytes++
 		isEnd, err = f.header.consume(b[0])
 	case inBodyOfLength:
 		n = int(min(f.bodyLeft, int64(len(b))))
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -312,6 +312,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	conn.setRefuseMemory(cancel)
+	defer conn.setRefuseMemory(nil)
 	if isLong {
 		arrival := arrivalWatch{conn: conn, timeLeft: timeLeft, onBegun: func(at time.Time) {
 			if end := at.Add(timeLeft); end.Before(deadline) {
--- a/internal/transport/listenerraces_test.go
+++ b/internal/transport/listenerraces_test.go
@@ -343,7 +343,7 @@
 			x.waitUntil("the connection is marked to be closed", c.downstream.isMarkedToClose)
 		},
 		"evicted": func(_ *closeRace, c *client) {
-			_, state, since := c.downstream.evictionCandidacy(time.Now())
+			_, state, since := c.downstream.evictionCandidacy(time.Now(), false)
 			c.downstream.evict(state, since)
 		},
 	} {
@@ -550,7 +550,7 @@
 	require.NoError(t, err)
 	since := time.Now().Add(-time.Hour)
 	downstream := &downstreamConn{Conn: inner, rawConn: raw, state: connClosing, stateSince: since, wasEvictedIdle: true}
-	rank, _, _ := downstream.evictionCandidacy(time.Now())
+	rank, _, _ := downstream.evictionCandidacy(time.Now(), false)
 	require.Zero(t, rank)
 	_, err = io.WriteString(conn, testRequest)
 	require.NoError(t, err)
