--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -74,8 +74,8 @@
 	lateReadTime = 20 * time.Millisecond
 )
 
-// timeOut ends the attempt, unless the endpoint is still taking its request. If the timer is late, the response may
-// have arrived in time all the same, and is read first.
+// timeOut ends the attempt, unless the endpoint is still taking its request. If the timer is late, the
+// response may have arrived in time all the same, and is read first.
 func (a *attempt) timeOut() {
 	if a.extendForUptake() {
 		return
@@ -87,8 +87,8 @@
 	a.cancelCtx(routing.TimedOut)
 }
 
-// extendForUptake gives the attempt its time anew if the endpoint has had the whole request only for a part of it, or
-// is still taking it, and reports whether it did. The request's deadline stays.
+// extendForUptake gives the attempt its time anew if the endpoint has had the whole request only for a part
+// of it, or is still taking it, and reports whether it did. The request's deadline stays.
 func (a *attempt) extendForUptake() bool {
 	watch, d := a.uptake.Load(), a.deadlines.Load()
 	if watch == nil || a.request.Rest != nil {
@@ -209,8 +209,8 @@
 	return max(min(d.timeAfterBody, a.request.TimeLeft-a.request.ClientWaited()), 0)
 }
 
-// latencyStart returns the start of the endpoint's time: when it can have had the last byte of a request that took it
-// long to take.
+// latencyStart returns the start of the endpoint's time: when it can have had the last byte of a request
+// that took it long to take.
 func (a *attempt) latencyStart() time.Time {
 	if watch := a.uptake.Load(); watch != nil && !a.written.IsZero() {
 		return watch.serverStart(a.written)
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// checkStall ends the attempt if the endpoint takes nothing of a streamed body. That of a buffered one ends by its
-// timeout.
+// checkStall ends the attempt if the endpoint takes nothing of a streamed body. That of a buffered one ends
+// by its timeout.
 func (e *exchange) checkStall() {
 	a := e.attempt
 	watch, clientTime := a.uptake.Load(), a.deadlines.Load().timeAfterBody
--- a/internal/agent/mailbox.go
+++ b/internal/agent/mailbox.go
@@ -6,9 +6,9 @@
 )
 
 // mailbox is an unbounded FIFO queue of an actor's messages. put never blocks, so actors that send to each
-// other cannot deadlock. The senders bound its length: each client connection, whose number is limited, has one
-// request queued at most (see waitForPrevious), and datagrams are put only while few messages wait. It is safe for
-// concurrent use.
+// other cannot deadlock. The senders bound its length: each client connection, whose number is limited, has
+// one request queued at most (see waitForPrevious), and datagrams are put only while few messages wait. It
+// is safe for concurrent use.
 type mailbox[T any] struct {
 	mu    sync.Mutex
 	queue []queued[T]
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -16,7 +16,7 @@
 	id       uint32
 	isPassed bool                   // it was passed to the router, and has its number
 	response chan protocol.Response // capacity 1, for the one final response
-	settled  chan struct{}          // closed when nothing of it is queued any more, if its client's goroutine ended it; nil: not needed
+	settled  chan struct{}          // see protocol.Response.Settled; nil: not needed
 	attempts []*attempt             // by number; nil: not started
 
 	mu          sync.Mutex
@@ -117,10 +117,10 @@
 	}
 }
 
-// waitForPrevious waits until nothing of the request before on the same connection is queued, as long as the request has
-// time. A request that was answered at the end of its time may still be queued: without this wait, one connection could
-// queue more and more of them, and all others would wait behind them. A request that has no time left is refused, without
-// being queued.
+// waitForPrevious waits until nothing of the request before on the same connection is queued, as long as
+// the request has time. A request that was answered at the end of its time may still be queued: without
+// this wait, one connection could queue more and more of them, and all others would wait behind them. A
+// request that has no time left is refused, without being queued.
 func waitForPrevious(ctx context.Context, r *protocol.Request) (refusal protocol.Response, isRefused bool) {
 	refusal = protocol.Response{Kind: protocol.Rejected, Body: []byte(routing.RejectedText), Settled: r.Previous}
 	left := timeUntilOver(r)
--- a/internal/agent/uptake.go
+++ b/internal/agent/uptake.go
@@ -8,12 +8,12 @@
 	"dunestep/internal/transport"
 )
 
-// minWatchedBody is the length of a buffered body, in bytes, from which on its uptake is watched. A shorter request fits
-// into any server's receive buffer.
+// minWatchedBody is the length of a buffered body, in bytes, from which on its uptake is watched. A shorter
+// request fits into any server's receive buffer.
 const minWatchedBody = 4 << 10
 
-// uptakeWatch watches how an upstream server's machine takes the request of one exchange, every progressInterval until
-// stop. It is safe for concurrent use.
+// uptakeWatch watches how an upstream server's machine takes the request of one exchange, every
+// progressInterval until stop. It is safe for concurrent use.
 type uptakeWatch struct {
 	conn   *transport.UpstreamConn
 	clock  clock
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -58,8 +58,8 @@
 	// unknown. A reader that is not scheduled learns of it late.
 	ClientGone func() bool
 
-	// Previous is closed when nothing of the request before on the same connection is queued any more; nil: nothing
-	// is.
+	// Previous is closed when nothing of the request before on the same connection is queued any more; nil:
+	// nothing is.
 	Previous <-chan struct{}
 
 	// Release releases the body's memory; further calls do nothing.
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -65,9 +65,10 @@
 	})
 }
 
-// attemptTimes returns when an attempt ends, and its timeout counted from the last byte of the request's body, zero
-// if that is received. An attempt that may pass on a body that can't be sent again goes on as long as its client
-// waits: no other attempt can take its place, and the server's time begins only when it has taken the body.
+// attemptTimes returns when an attempt ends, and its timeout counted from the last byte of the request's
+// body, zero if that is received. An attempt that may pass on a body that can't be sent again goes on as
+// long as its client waits: no other attempt can take its place, and the server's time begins only when it
+// has taken the body.
 func (req *requestState) attemptTimes(now, timeout time.Duration) (until, afterBody time.Duration) {
 	if req.hasStreamedBody || timeout == 0 {
 		return req.deadline, req.clientTimeLeft
--- a/internal/routing/attemptresult.go
+++ b/internal/routing/attemptresult.go
@@ -62,8 +62,8 @@
 	// LocalFault means that this agent lacked a resource or did not write, or that the client stopped
 	// sending.
 	LocalFault bool
-	// WasBeingTaken means that the time was over while the endpoint was taking the request: it says nothing of how
-	// fast the endpoint responds.
+	// WasBeingTaken means that the time was over while the endpoint was taking the request: it says nothing of
+	// how fast the endpoint responds.
 	WasBeingTaken bool
 	BodyConsumed  bool          // a part of the request's body is no longer buffered: it can't be sent again
 	LocalDelay    time.Duration // time by which this agent was late to end the attempt
--- a/internal/routing/connectionmemory.go
+++ b/internal/routing/connectionmemory.go
@@ -1,8 +1,8 @@
 package routing
 
-// What a client connection makes the process hold beside bodies, which have a budget of their own, in bytes: buffers,
-// stacks and structures of net/http and of this agent, with what the garbage collector adds. docs/capacity.md has the
-// measurements.
+// What a client connection makes the process hold beside bodies, which have a budget of their own, in
+// bytes: buffers, stacks and structures of net/http and of this agent, with what the garbage collector
+// adds. docs/capacity.md has the measurements.
 const (
 	// ConnectionBytes is the cost of an open connection.
 	ConnectionBytes = 16 << 10
@@ -22,8 +22,8 @@
 	minConnectionMemory = 2 << 20
 )
 
-// ConnectionMemory returns how many bytes client connections may hold together in a process with a memory limit, of
-// which bodies have a part.
+// ConnectionMemory returns how many bytes client connections may hold together in a process with a memory
+// limit, of which bodies have a part.
 func ConnectionMemory(memoryLimit, bodies int64) int64 {
 	return max(memoryLimit-processBytes-int64(bodyCost*float64(bodies)), minConnectionMemory)
 }
--- a/internal/routing/descriptors.go
+++ b/internal/routing/descriptors.go
@@ -15,8 +15,8 @@
 // if all were used up, both accepting and dialing would fail. Clients may use up to five eighths: a third of
 // the limit for requests, the rest for idle connections. An eighth is reserved for clients.
 //
-// Client connections also hold memory, which is bounded as well: none is accepted beyond the bound. What open ones need
-// in addition is counted, but not refused.
+// Client connections also hold memory, which is bounded as well: none is accepted beyond the bound. What
+// open ones need in addition is counted, but not refused.
 type Descriptors struct {
 	total                int
 	downstream, upstream int
--- a/internal/routing/requestuptake.go
+++ b/internal/routing/requestuptake.go
@@ -9,9 +9,9 @@
 	IsWritten    bool   // the request's last byte was handed to the system
 }
 
-// RequestUptake follows how an upstream server's machine takes a request. A server that reads slowly takes it long
-// after it was written: its time begins when it has the last byte. The zero value is ready for use; times are those
-// of a clock of the caller's choice.
+// RequestUptake follows how an upstream server's machine takes a request. A server that reads slowly takes
+// it long after it was written: its time begins when it has the last byte. The zero value is ready for use;
+// times are those of a clock of the caller's choice.
 type RequestUptake struct {
 	hasSample     bool
 	beganAt       time.Duration // of the first sample
@@ -40,13 +40,13 @@
 	}
 }
 
-// minReaderSteps is the minimum of progressSteps of a server whose process reads. The system of one that hangs fills
-// its buffer in two steps: the first may come before the first sample, the second is a part of a segment, which is sent
-// some 0.2 s later.
+// minReaderSteps is the minimum of progressSteps of a server whose process reads. The system of one that
+// hangs fills its buffer in two steps: the first may come before the first sample, the second is a part of
+// a segment, which is sent some 0.2 s later.
 const minReaderSteps = 2
 
-// IsBeingTaken reports whether the server is known not to have the last byte, and has taken something for most of the
-// time: it reads slowly, but does not hang.
+// IsBeingTaken reports whether the server is known not to have the last byte, and has taken something for
+// most of the time: it reads slowly, but does not hang.
 func (u *RequestUptake) IsBeingTaken(now time.Duration) bool {
 	return !u.isWhole && u.progressSteps >= minReaderSteps && 2*u.StalledFor(now) < now-u.beganAt
 }
@@ -59,14 +59,14 @@
 	return max(now-u.progressAt, 0)
 }
 
-// ServerStart returns the earliest time at which the server can have had the last byte, which was written at a
-// time.
+// ServerStart returns the earliest time at which the server can have had the last byte, which was written
+// at a time.
 func (u *RequestUptake) ServerStart(writtenAt time.Duration) time.Duration {
 	return max(writtenAt, u.lastPendingAt)
 }
 
-// AttemptEnd returns when an attempt with this timeout ends. Its given end counts from before the server had the
-// request; while that is being taken, the timeout counts from the last progress.
+// AttemptEnd returns when an attempt with this timeout ends. Its given end counts from before the server
+// had the request; while that is being taken, the timeout counts from the last progress.
 func (u *RequestUptake) AttemptEnd(given, timeout time.Duration) time.Duration {
 	switch {
 	case !u.hasSample || u.lastPendingAt == 0:
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -76,8 +76,8 @@
 	s.readPause = pause
 }
 
-// SetReceiveBuffer sets the size of the system's receive buffer of connections that are accepted from now on, in
-// bytes. The system doubles it. It returns an error if the server does not listen.
+// SetReceiveBuffer sets the size of the system's receive buffer of connections that are accepted from now
+// on, in bytes. The system doubles it. It returns an error if the server does not listen.
 func (s *Server) SetReceiveBuffer(bytes int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -31,8 +31,8 @@
 	return age, true
 }
 
-// sentBytes returns how many bytes of a connection its peer's machine has acknowledged, and whether it has yet to
-// acknowledge others. It is false where the system does not tell.
+// sentBytes returns how many bytes of a connection its peer's machine has acknowledged, and whether it has
+// yet to acknowledge others. It is false where the system does not tell.
 func sentBytes(fd uintptr) (acknowledged uint64, hasPending, isKnown bool) {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil || info.Rcv_mss == 0 {
--- a/internal/transport/clientmemory.go
+++ b/internal/transport/clientmemory.go
@@ -2,8 +2,9 @@
 
 import "dunestep/internal/routing"
 
-// chargeMemory updates what the connection holds beside its fixed cost: the header of its request, and the request in
-// flight. The caller holds mu. It reports whether all connections hold more than they may together.
+// chargeMemory updates what the connection holds beside its fixed cost: the header of its request, and the
+// request in flight. The caller holds mu. It reports whether all connections hold more than they may
+// together.
 func (c *downstreamConn) chargeMemory() (isOver bool) {
 	held := int64(0)
 	switch c.state {
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -49,7 +49,8 @@
 	d.allocation.SetMemoryLimit(bytes)
 }
 
-// addMemory records that client connections hold more bytes, or less, and reports whether they hold all that they may.
+// addMemory records that client connections hold more bytes, or less, and reports whether they hold all
+// that they may.
 func (d *Descriptors) addMemory(bytes int64) (isFull bool) {
 	d.mu.Lock()
 	d.allocation.AddMemory(bytes)
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -66,12 +66,12 @@
 	stateSince        time.Time
 	isHeaderRead      bool            // in connReading: the request's header was read
 	receivedAt        time.Time       // of the latest bytes; of a backlog, the earliest possible time
-	hasBacklog        bool            // bytes arrived before a Read waited for them, and the kernel may have more
+	hasBacklog        bool            // bytes came before a Read waited for them; the kernel may have more
 	backlogReadAt     time.Time       // with hasBacklog: when the kernel last had no more
 	isPaused          bool            // nothing is read: the request waits for memory or an upstream server
 	pausedAt          time.Time       // start of the latest pause
 	resumedAt         time.Time       // when reading continued after a pause
-	refuseMemory      func()          // ends the wait of the current body for its first memory; nil: it does not wait
+	refuseMemory      func()          // ends the wait of the body for memory; nil: there is none
 	closesUnlessInput bool            // the current Read ends the connection unless there is input
 	isBodyAbandoned   bool            // the rest of the current body is not needed
 	skipsLinger       bool            // Close does not wait for the client to close its side
@@ -415,8 +415,8 @@
 // discardBytes is how much input is discarded at once, in bytes.
 const discardBytes = 4 << 10
 
-// discardInput reads and discards input until the deadline or the client's close. A client that sends at full speed is
-// read in turns.
+// discardInput reads and discards input until the deadline or the client's close. A client that sends at
+// full speed is read in turns.
 func (c *downstreamConn) discardInput() {
 	buffer := make([]byte, discardBytes)
 	for {
--- a/internal/transport/eviction.go
+++ b/internal/transport/eviction.go
@@ -81,8 +81,8 @@
 	return rank, c.state, c.stateSince
 }
 
-// incompleteRank returns the rank of a connection whose request is incomplete, while memory is short. The caller holds
-// mu.
+// incompleteRank returns the rank of a connection whose request is incomplete, while memory is short. The
+// caller holds mu.
 func (c *downstreamConn) incompleteRank(now time.Time) evictionRank {
 	switch {
 	case c.isRequestComplete():
@@ -103,14 +103,15 @@
 	return notEvictable
 }
 
-// isRequestComplete reports whether the current request was read to its last byte, whether or not its handler runs. The
-// caller holds mu.
+// isRequestComplete reports whether the current request was read to its last byte, whether or not its
+// handler runs. The caller holds mu.
 func (c *downstreamConn) isRequestComplete() bool {
 	current := c.framing.current()
 	return current != nil && current.isComplete
 }
 
-// hasBodyArrived reports whether the rest of the body of known length lies unread in the system. The caller holds mu.
+// hasBodyArrived reports whether the rest of the body of known length lies unread in the system. The caller
+// holds mu.
 func (c *downstreamConn) hasBodyArrived() bool {
 	current := c.framing.current()
 	if current == nil {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -237,9 +237,11 @@
 	f.writeResponse(ctx, w, r, x, response, requestMetrics)
 }
 
-// handle passes a request to the handler, with what may still be queued of the one before on its connection. Only the
-// connection's goroutine calls it.
-func (f *Listener) handle(ctx context.Context, conn *downstreamConn, op *protocol.Request) (protocol.Response, bool) {
+// handle passes a request to the handler, with what may still be queued of the one before on its
+// connection. Only the connection's goroutine calls it.
+func (f *Listener) handle(ctx context.Context, conn *downstreamConn, op *protocol.Request) (
+	protocol.Response, bool,
+) {
 	op.Previous = conn.previous
 	response, isOwed := f.handler.HandleRequest(ctx, op)
 	conn.previous = response.Settled
--- a/internal/transport/streamedwrite.go
+++ b/internal/transport/streamedwrite.go
@@ -144,8 +144,8 @@
 	return err != nil || isWritable
 }
 
-// Uptake returns what the server's machine has taken of what was written; false where the system does not tell.
-// Whether the request's last byte was written, the caller knows.
+// Uptake returns what the server's machine has taken of what was written; false where the system does not
+// tell. Whether the request's last byte was written, the caller knows.
 func (u *UpstreamConn) Uptake() (sample routing.UptakeSample, isKnown bool) {
 	// Asked first: what a write that has ended has handed over is pending, or acknowledged.
 	isWriting := u.isWriting.Load()
--- a/internal/transport/turns.go
+++ b/internal/transport/turns.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 )
 
-// The agent has few processors, often one. A connection whose next request is there already waits for nothing: its
-// goroutine runs for as long as the scheduler lets it, and with some of them all others are late at each step. Such
-// connections take turns, and each lets everything else run before its own.
+// The agent has few processors, often one. A connection whose next request is there already waits for
+// nothing: its goroutine runs for as long as the scheduler lets it, and with some of them all others are
+// late at each step. Such connections take turns, and each lets everything else run before its own.
 
-// turnQueue lets one connection at a time go on to a request that was read with the one before. Connections wait in the
-// order of their calls. The zero value is not usable.
+// turnQueue lets one connection at a time go on to a request that was read with the one before. Connections
+// wait in the order of their calls. The zero value is not usable.
 type turnQueue chan struct{}
 
 func newTurnQueue() turnQueue { return make(turnQueue, 1) }
