--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -219,6 +219,7 @@
 	n, start := arrive("a")
 	require.Equal(t, d.now+MaxBodyTime, start.At)
 	require.Equal(t, 900*time.Millisecond, start.After)
+	require.Equal(t, start.Deadline, start.At, "the attempt goes on as long as its request")
 	d.now += time.Minute
 	rescheduled := kinds(d.router.BodyComplete(d.now, n), RescheduleAttempt)
 	require.Len(t, rescheduled, 1)
