A connection's turn ends before it writes, too

Cause: net/http answers a malformed request itself, with a write that may wait for a client that does not read. Behind a request that was answered, the connection had its turn then, and all other connections with further requests waited.

--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -188,8 +188,12 @@
 	return c.SetReadDeadline(now.Add(timelyInputTimeout)) == nil
 }
 
-// Write writes to the client.
-func (c *downstreamConn) Write(b []byte) (int, error) { return connWriter{c.Conn}.Write(b) }
+// Write writes to the client. It may wait for the client to read: net/http answers a malformed request
+// itself.
+func (c *downstreamConn) Write(b []byte) (int, error) {
+	c.releaseTurn()
+	return connWriter{c.Conn}.Write(b)
+}
 
 // hasPendingBacklog reports whether bytes that arrived before a Read waited for them are still unread.
 func (c *downstreamConn) hasPendingBacklog() bool {
