Tests: ids run again at the other process of an upgrade, or after their client left

Both fail before any change:

- The old process of an upgrade is stopped (SIGSTOP) for 4 s while 100 connections claim ids at the new one.
The socket between the two is full, the write takes over 1 s, the connection is closed, and the new process logs "the previous process has exited": from then on an id that is open there may run here.
- A client leaves, its booking runs to its end, and the id comes again: 200, and the endpoint has run it twice.

--- a/cmd/dunestep/openids_test.go
+++ b/cmd/dunestep/openids_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -124,3 +127,76 @@
 	})
 	clients[1].served("rezervare", id)
 }
+
+// The earlier process is stopped for seconds, while more ids are claimed there than the connection between the two holds. It
+// has not ended: what is open there must not run here.
+func TestIDsOfStoppedProcessBesideManyClaims(t *testing.T) {
+	const id, clients, stopTime = "00000000000000c1", 100, 4 * time.Second
+	w := newTestbed(t, 1)
+	withOpsSocket(w)
+	w.useLongTimeouts()
+	w.launch()
+	w.awaitReady()
+	held := w.heldIDs(id)
+	toFirst := w.clientOfThis()
+	second := w.upgrade()
+	repeating := second.clientOfThis(w)
+	toFirst.send(w.idRequest("rezervare", id))
+	w.waitUntil("the endpoint has it", func() bool { return w.runs(id) == 1 })
+	w.signal(syscall.SIGSTOP)
+	w.waitUntil("the first process is stopped", w.isStopped)
+	var claiming sync.WaitGroup
+	end := time.Now().Add(stopTime)
+	for range clients {
+		client := second.newRawClient()
+		claiming.Go(func() {
+			for time.Now().Before(end) {
+				_, _ = io.WriteString(client, second.requestText("consult", 60_000))
+				if response, err := http.ReadResponse(client.in, nil); err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+				}
+			}
+		})
+	}
+	claiming.Wait()
+	require.NotContains(t, second.log.String(), "the previous process has exited")
+	repeating.send(w.idRequest("rezervare", id))
+	require.Equal(t, http.StatusServiceUnavailable, repeating.readAnswer().status)
+	w.signal(syscall.SIGCONT)
+	w.waitUntil("the claims before are answered", func() bool {
+		repeating.send(w.idRequest("rezervare", id))
+		return repeating.readAnswer().status != http.StatusServiceUnavailable
+	})
+	require.Equal(t, 1, w.runs(id))
+	close(held[id])
+	require.Equal(t, http.StatusOK, toFirst.readAnswer().status)
+}
+
+// A client leaves, its request runs to its end, and then its id comes again: at the same process, at the next one, and at the
+// next one when the first has ended.
+func TestIDOfClientThatLeftDoesNotRunAgain(t *testing.T) {
+	const id = "00000000000000d1"
+	w := newTestbed(t, 1)
+	withOpsSocket(w)
+	w.useLongTimeouts()
+	w.launch()
+	w.awaitReady()
+	held := w.heldIDs(id)
+	leaving := w.newRawClient()
+	leaving.send(w.idRequest("rezervare", id))
+	w.waitUntil("the endpoint has it", func() bool { return w.runs(id) == 1 })
+	require.NoError(t, leaving.Close())
+	close(held[id])
+	w.send("consult") // the endpoint's answer has come by then
+	time.Sleep(100 * time.Millisecond)
+	w.newRawClient().refused("rezervare", id)
+	second := w.upgrade()
+	clients := []*rawClient{second.clientOfThis(w), second.clientOfThis(w)}
+	clients[0].refused("rezervare", id)
+	w.signal(syscall.SIGKILL)
+	w.waitUntil("the first process has ended", func() bool {
+		return strings.Contains(second.log.String(), "the previous process has exited")
+	})
+	clients[1].refused("rezervare", id)
+	require.Equal(t, 1, w.runs(id))
+}
