A process of an upgrade has ended when its connection has, not when a write takes 1 s

Cause: Peer.send closed the connection when a notification could not be written for 1 s, and Receive at any error of the system; the other process then counted as ended, and its open ids as free. A duration that stood for an event.

Change: notifications are queued and sent without a deadline (Peer.Notify, Peer.Send), and nobody waits for them but an operator's call, 0.25 s at most. What waits is bounded: a claim that was not sent is withdrawn when its request is over. Reads and writes between the two that fail for want of memory are tried again (patientConn), as on other sockets.

--- a/cmd/dunestep/handover.go
+++ b/cmd/dunestep/handover.go
@@ -148,14 +148,24 @@
 	p.agent.ReleaseIdle() // idle connections are closed first
 }
 
+// maxManualWait is how long an operator's call waits until the other process can read its effect.
+const maxManualWait = 250 * time.Millisecond
+
 // notifyManual notifies the other process, if any, of the operators' settings.
 func (p *process) notifyManual(settings handover.ManualSettings) {
 	p.upgrade.mu.Lock()
 	others := []*handover.Peer{p.upgrade.previous, p.upgrade.next}
 	p.upgrade.mu.Unlock()
+	timeout := time.NewTimer(maxManualWait)
+	defer timeout.Stop()
 	for _, other := range others {
-		if other != nil {
-			other.Notify(handover.Notification{Manual: &settings})
+		if other == nil {
+			continue
+		}
+		select { // one that is not scheduled reads it later
+		case <-other.Notify(handover.Notification{Manual: &settings}):
+		case <-timeout.C:
+			return
 		}
 	}
 }
--- a/cmd/dunestep/requestids.go
+++ b/cmd/dunestep/requestids.go
@@ -52,7 +52,7 @@
 
 // follow starts to claim ids at the previous process.
 func (r *sharedIDs) follow(previous *handover.Peer) {
-	r.previous.Store(handover.NewClaimant(previous.Notify))
+	r.previous.Store(handover.NewClaimant(previous.Send))
 }
 
 // resolve handles an answer of the previous process.
--- a/internal/handover/claims.go
+++ b/internal/handover/claims.go
@@ -1,6 +1,9 @@
 package handover
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Claim asks the previous process whether the next one may open a request's id.
 type Claim struct {
@@ -14,13 +17,14 @@
 	InUse  bool   `json:"in_use"` // the id is open, and the claim refused
 }
 
-// Claimant claims ids at the previous process, in the order of its calls. It is safe for concurrent use.
+// Claimant claims ids at the previous process, in the order of its calls. While that process takes nothing,
+// it holds one claim for each open id. It is safe for concurrent use.
 type Claimant struct {
 	notify func(Notification)
 
 	mu         sync.Mutex
 	changed    sync.Cond
-	queue      []Notification
+	queue      []Notification // not sent yet
 	waiting    map[uint64]chan bool
 	lastNumber uint64
 	hasEnded   bool
@@ -35,23 +39,30 @@
 	return c
 }
 
-// send passes on what is queued.
+// send passes on what is queued, one by one.
 func (c *Claimant) send() {
 	for {
-		c.mu.Lock()
-		for len(c.queue) == 0 && !c.hasEnded {
-			c.changed.Wait()
-		}
-		queue, hasEnded := c.queue, c.hasEnded
-		c.queue = nil
-		c.mu.Unlock()
+		n, hasEnded := c.next()
 		if hasEnded {
 			return
 		}
-		for _, n := range queue {
-			c.notify(n)
-		}
+		c.notify(n)
+	}
+}
+
+// next waits for the next notification to send, or the end.
+func (c *Claimant) next() (n Notification, hasEnded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) == 0 && !c.hasEnded {
+		c.changed.Wait()
+	}
+	if c.hasEnded {
+		return Notification{}, true
 	}
+	n = c.queue[0]
+	c.queue = c.queue[1:]
+	return n, false
 }
 
 // enqueue queues a notification. The caller must hold mu.
@@ -78,10 +89,18 @@
 	return result
 }
 
-// Release gives back an id that was claimed, whatever the result of the claim was or will be.
+// Release gives back an id that was claimed, whatever the result of the claim was or will be. A claim that was
+// not sent yet is withdrawn.
 func (c *Claimant) Release(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for i, n := range c.queue {
+		if n.Claim != nil && n.Claim.ID == id {
+			delete(c.waiting, n.Claim.Number)
+			c.queue = slices.Delete(c.queue, i, i+1)
+			return
+		}
+	}
 	c.enqueue(Notification{Release: id})
 }
 
--- a/internal/handover/frame.go
+++ b/internal/handover/frame.go
@@ -23,7 +23,8 @@
 )
 
 // writeFrame sends a value as JSON preceded by its length, and passes the descriptors along with the header.
-func writeFrame(c *net.UnixConn, value any, fds []int) error {
+func writeFrame(conn *net.UnixConn, value any, fds []int) error {
+	c := patientConn{conn}
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return fmt.Errorf("cannot encode a %T: %w", value, err)
@@ -36,7 +37,7 @@
 	if len(fds) > 0 {
 		rights = syscall.UnixRights(fds...)
 	}
-	if _, _, err = c.WriteMsgUnix(header, rights, nil); err != nil {
+	if err = c.writeMessage(header, rights); err != nil {
 		return fmt.Errorf("cannot send the header of a %T: %w", value, err)
 	}
 	if _, err = c.Write(raw); err != nil {
@@ -54,9 +55,10 @@
 
 // readFrameWithFiles reads a value and returns the descriptors passed with it as files. The caller must close
 // them, also after an error.
-func readFrameWithFiles(c *net.UnixConn, into any) ([]*os.File, error) {
+func readFrameWithFiles(conn *net.UnixConn, into any) ([]*os.File, error) {
+	c := patientConn{conn}
 	header, rights := make([]byte, frameHeaderBytes), make([]byte, syscall.CmsgSpace(descriptorBytes*maxSockets))
-	n, m, flags, _, err := c.ReadMsgUnix(header, rights)
+	n, m, flags, err := c.readMessage(header, rights)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -16,8 +16,6 @@
 	// handshakeTimeout limits connecting, and separately hello and offer together. A new process has a few
 	// seconds to become ready.
 	handshakeTimeout = 1500 * time.Millisecond
-	// notifyTimeout limits how long the other process may take to receive a notification.
-	notifyTimeout = time.Second
 )
 
 // ErrNoPeer means that no other process of this agent is running.
@@ -64,13 +62,23 @@
 	Agent  string `json:"agent"`
 }
 
-// Peer is a connection to the other process while both run.
+// Peer is a connection to the other process while both run. It ends with that process and not before, however
+// long the other process is not scheduled: what it holds is in use until then.
 type Peer struct {
 	conn *net.UnixConn
 
-	mu           sync.Mutex // held while a frame is written
-	offerPending bool       // the offer has not been sent yet; notifications are queued until then
-	queued       []Notification
+	writing sync.Mutex // held while a frame is written
+
+	mu           sync.Mutex
+	offerPending bool // the offer has not been sent yet; notifications are queued until then
+	isSending    bool // sendQueued runs
+	queued       []queuedNotification
+}
+
+// queuedNotification is a notification that is not sent yet.
+type queuedNotification struct {
+	Notification
+	done chan struct{} // closed once it is sent
 }
 
 // Connect connects to the running process of an agent and returns its offer and the sockets by name. The
@@ -146,34 +154,67 @@
 		}
 		duplicates = append(duplicates, fd)
 	}
+	err := p.writeOffer(offer, duplicates)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.offerPending = false
+	p.startSending()
+	return err
+}
+
+// writeOffer writes the offer with the descriptors. The new process waits for it, so it is late after a while.
+func (p *Peer) writeOffer(offer Offer, descriptors []int) error {
+	p.writing.Lock()
+	defer p.writing.Unlock()
 	// fails only on a closed connection, on which the write fails too
 	_ = p.conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	err := writeFrame(p.conn, offer, duplicates)
-	for _, n := range p.queued {
-		p.send(n)
-	}
-	p.offerPending, p.queued = false, nil
-	return err
+	defer func() { _ = p.conn.SetDeadline(time.Time{}) }()
+	return writeFrame(p.conn, offer, descriptors)
 }
 
-// Notify sends a notification. If that fails, it closes the connection. Before SendOffer it queues the
-// notification, since the other process would mistake it for the offer. It is safe for concurrent use.
-func (p *Peer) Notify(n Notification) {
+// Notify queues a notification and does not wait for the other process. Before SendOffer nothing is sent, since
+// the other process would mistake it for the offer. The result is closed once the connection has taken the
+// notification, or has ended. It is safe for concurrent use.
+func (p *Peer) Notify(n Notification) (sent <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.offerPending {
-		p.queued = append(p.queued, n)
-		return
+	done := make(chan struct{})
+	p.queued = append(p.queued, queuedNotification{n, done})
+	p.startSending()
+	return done
+}
+
+// startSending starts to send what is queued, unless that goes on already. The caller must hold mu.
+func (p *Peer) startSending() {
+	if !p.offerPending && !p.isSending && len(p.queued) > 0 {
+		p.isSending = true
+		go p.sendQueued()
 	}
-	p.send(n)
 }
 
-// send sends a notification, and closes the connection if that fails. The caller must hold mu.
-func (p *Peer) send(n Notification) {
-	// fails only on a closed connection, on which the write fails too
-	_ = p.conn.SetWriteDeadline(time.Now().Add(notifyTimeout))
+// sendQueued sends notifications, in order, until none is queued.
+func (p *Peer) sendQueued() {
+	for {
+		p.mu.Lock()
+		if len(p.queued) == 0 {
+			p.isSending, p.queued = false, nil
+			p.mu.Unlock()
+			return
+		}
+		n := p.queued[0]
+		p.queued = p.queued[1:]
+		p.mu.Unlock()
+		p.Send(n.Notification)
+		close(n.done)
+	}
+}
+
+// Send sends a notification, and waits until the connection has taken it or has ended. If that fails, it
+// closes the connection. It is not called before SendOffer. It is safe for concurrent use.
+func (p *Peer) Send(n Notification) {
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	_ = p.conn.SetWriteDeadline(time.Time{}) // that of the handshake; fails only on a closed connection
 	if err := writeFrame(p.conn, n, nil); err != nil {
 		p.Close()
 	}
--- a/internal/standin/systemcalls_linux.go
+++ b/internal/standin/systemcalls_linux.go
@@ -30,6 +30,7 @@
 	unix.SYS_OPENAT:      "openat",
 	unix.SYS_READ:        "read",
 	unix.SYS_RECVFROM:    "recvfrom",
+	unix.SYS_RECVMSG:     "recvmsg",
 	unix.SYS_SENDTO:      "sendto",
 	unix.SYS_SOCKET:      "socket",
 	unix.SYS_WRITE:       "write",
