Test: each request that SIGTERM meets half written has an id of its own

TestSIGTERMDuringPartialRequest sent four copies of one request, with one id. The checks are the same.

--- a/cmd/dunestep/clientraces_test.go
+++ b/cmd/dunestep/clientraces_test.go
@@ -120,9 +120,9 @@
 	var clients []*rawClient
 	var rests []string
 	for _, class := range []string{"consult", "rezervare"} {
-		text := w.requestText(class, 60000)
-		head := strings.Index(text, "\r\n\r\n")
-		for _, at := range []int{1, head / 2, head + 2, len(text) - 1} {
+		length, head := len(w.requestText(class, 60000)), strings.Index(w.requestText(class, 60000), "\r\n\r\n")
+		for _, at := range []int{1, head / 2, head + 2, length - 1} {
+			text := w.requestText(class, 60000)
 			c := w.newRawClient()
 			c.send(text[:at])
 			clients, rests = append(clients, c), append(rests, text[at:])
