A request is in flight at its server from its last byte on, not while its client sends it

Cause: each attempt with a body that its client is still sending counted as a request in flight. So servers looked full, and silent since the first such attempt: their expected latency passed every limit. The server's work begins with the last byte.

Change: Request.IsBodyPending and the event BodyComplete. Until then, an attempt counts at its server apart from those in flight, only for others of its kind, in the balancer as in the overload controller. The counterpart, responses that clients read slowly, was there (StreamStarted).

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -18,6 +18,7 @@
 	failedProbeLatency time.Duration
 	inFlightAtSend     int32 // this balancer's other requests at the server at the time of sending
 	done               bool
+	isReceiving        bool // not counted as in flight yet: see onBodyComplete
 	responseStarted    bool // no longer counted as in flight: see onStreamStarted
 	unprocessed        bool // ended without having been processed
 	hedged             bool
@@ -31,7 +32,7 @@
 		timeout = min(timeout, left) // a later answer would have no value and keep the server busy
 	}
 	a := attempt{
-		server: s, inFlightAtSend: int32(s.inFlight), reportedInFlight: unreported,
+		server: s, inFlightAtSend: int32(s.inFlight), reportedInFlight: unreported, isReceiving: r.isBodyPending,
 		failedProbeLatency: b.contradictionLatency(r, s),
 	}
 	if b.hasFreshReport(s) {
@@ -42,10 +43,7 @@
 	b.watch(s)
 	r.attempts = append(r.attempts, a)
 	r.openAttempts++
-	if s.inFlight == 0 {
-		s.silentSince = b.now
-	}
-	b.addInFlight(&r.attempts[len(r.attempts)-1], 1)
+	b.beginInFlight(&r.attempts[len(r.attempts)-1])
 	b.sentThisRound += r.workUnits
 	s.slowStart.Spend(r.workUnits)
 	b.zoneReach.RecordAttempt(b.now, s.Zone)
@@ -68,7 +66,7 @@
 	if a.hedged {
 		r.openHedges--
 	}
-	b.addInFlight(a, -1)
+	b.endInFlight(a)
 	b.observeProbation(a, e)
 	b.observeAttempt(r, a, e)
 	if e.RequestDone && !r.closed {
@@ -93,7 +91,25 @@
 	a := &r.attempts[e.Attempt]
 	r.streaming, a.server.silentSince = true, b.now
 	if !a.done && !r.class.Streaming {
-		b.addInFlight(a, -1)
+		b.endInFlight(a)
 		a.responseStarted = true
 	}
 }
+
+// onBodyComplete counts the request's attempts as in flight: a server begins a request with its last byte.
+// Clients that send their bodies slowly do not make servers look busy and silent.
+func (b *Balancer) onBodyComplete(e *BodyComplete) {
+	r := b.requests[e.ID]
+	if r == nil || !r.isBodyPending {
+		return
+	}
+	r.isBodyPending = false
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.isReceiving && !a.done && !a.responseStarted {
+			b.endInFlight(a)
+			a.isReceiving = false
+			b.beginInFlight(a)
+		}
+	}
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -140,6 +140,8 @@
 	switch e := ev.(type) {
 	case *Request:
 		b.onRequest(e)
+	case *BodyComplete:
+		b.onBodyComplete(e)
 	case *AttemptDone:
 		b.onAttemptDone(e)
 	case *StreamStarted:
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -77,6 +77,7 @@
 	ClientTimeout time.Duration // time until the client gives up
 	ClientRetry   bool          // marked by the client as a retry
 	QuotaCounted  bool          // already counted against its tenant's quota, so not counted again
+	IsBodyPending bool          // its client is still sending the body; BodyComplete follows
 }
 
 // quotaTenant returns the tenant whose quota the request counts against, or an empty string for none.
@@ -99,6 +100,10 @@
 	Evidence    outlier.Evidence // details of the outcome from the transport; zero: none
 }
 
+// BodyComplete reports that a request with IsBodyPending has its last byte: servers that have an attempt of it
+// begin to work on it.
+type BodyComplete struct{ ID uint32 }
+
 // StreamStarted reports that an attempt's response has begun to stream to the client.
 type StreamStarted struct {
 	ID      uint32
@@ -162,6 +167,7 @@
 type TimerDue struct{ Tag uint64 }
 
 func (*Request) event()          {}
+func (*BodyComplete) event()     {}
 func (*AttemptDone) event()      {}
 func (*StreamStarted) event()    {}
 func (*ClientGone) event()       {}
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -33,6 +33,7 @@
 	hedges       int16   // number of attempts that are hedges
 	probes       int16   // number of probes for this request
 
+	isBodyPending     bool // its client is still sending the body
 	waiting           bool // waits for a retry, a probe or a server's probation
 	closed            bool // the client has its answer or has disconnected
 	streaming         bool // a response has begun
@@ -51,7 +52,7 @@
 	}
 	r := &request{
 		id: e.ID, class: b.classOf(e), workUnits: 1, deadline: b.now + max(e.ClientTimeout, 0),
-		tenant: b.countRequest(e),
+		tenant: b.countRequest(e), isBodyPending: e.IsBodyPending,
 	}
 	b.setObjective(r, e)
 	if e.WorkHint > 0 {
--- a/internal/balancer/saturation.go
+++ b/internal/balancer/saturation.go
@@ -48,7 +48,7 @@
 // the key. Expected is the server's expected latency; it and the limit are in seconds.
 func (b *Balancer) isSaturated(r *request, s *server, expected, latencyLimit float64) bool {
 	switch {
-	case expected > latencyLimit, b.probeIsLate(r, s), b.hasSurge(s):
+	case expected > latencyLimit, b.probeIsLate(r, s), b.hasSurge(r, s):
 		return true
 	}
 	return expected > affinityFraction*seconds(r.class.LatencyObjective) && b.exceedsBoundedLoad(s)
@@ -61,9 +61,14 @@
 		float64(b.now-s.probeSentAt) >= probeWaitFraction*float64(r.class.LatencyObjective)
 }
 
-// hasSurge reports whether far more requests than usual are in flight at the server.
-func (b *Balancer) hasSurge(s *server) bool {
-	return float64(s.inFlight) > max(b.typicalInFlight+surgeDeviations*math.Sqrt(b.typicalInFlight), 1)
+// hasSurge reports whether far more requests than usual are in flight at the server. Those whose bodies are
+// not complete only cost it connections: they count for others of their kind alone.
+func (b *Balancer) hasSurge(r *request, s *server) bool {
+	requests := s.inFlight
+	if r.isBodyPending {
+		requests += s.receiving
+	}
+	return float64(requests) > max(b.typicalInFlight+surgeDeviations*math.Sqrt(b.typicalInFlight), 1)
 }
 
 // exceedsBoundedLoad reports whether one more request raises the server's load above BoundedLoadFactor times
@@ -77,12 +82,28 @@
 	return load+1 > b.tuning.BoundedLoadFactor*mean
 }
 
-// addInFlight adds change to the requests in flight at the attempt's server and in total. An attempt whose
-// response has begun is no longer counted and changes nothing.
-func (b *Balancer) addInFlight(a *attempt, change int) {
-	if !a.responseStarted {
-		a.server.inFlight += change
-		b.changeInFlight(change)
+// beginInFlight counts an attempt at its server: as in flight, or as one whose body is not complete.
+func (b *Balancer) beginInFlight(a *attempt) {
+	if a.isReceiving {
+		a.server.receiving++
+		return
+	}
+	if a.server.inFlight == 0 {
+		a.server.silentSince = b.now
+	}
+	a.server.inFlight++
+	b.changeInFlight(1)
+}
+
+// endInFlight ends what beginInFlight has begun. An attempt whose response has begun is not counted any more.
+func (b *Balancer) endInFlight(a *attempt) {
+	switch {
+	case a.responseStarted:
+	case a.isReceiving:
+		a.server.receiving--
+	default:
+		a.server.inFlight--
+		b.changeInFlight(-1)
 	}
 }
 
--- a/internal/balancer/server.go
+++ b/internal/balancer/server.go
@@ -21,7 +21,8 @@
 	excludedBelow []uint32             // excluded key ranks by tenant number: see Exclusions; nil: none
 
 	// From this balancer's attempts.
-	inFlight        int              // requests
+	inFlight        int              // requests whose bodies are complete
+	receiving       int              // requests whose clients are still sending their bodies
 	silentSince     time.Duration    // when the server last responded or its first request in flight was sent
 	lastServedAt    time.Duration    // last served attempt
 	lastResponseAt  time.Duration    // last response to an attempt or a probe
--- a/internal/overload/attempts.go
+++ b/internal/overload/attempts.go
@@ -22,6 +22,7 @@
 	balancerAttempts int       // number of attempts as the balancer counts them, including suppressed ones
 	openAttempts     int
 	isAnswered       bool
+	isBodyPending    bool // its client is still sending the body
 	isStreaming      bool // its class has streamed responses: servers work until the end of the response
 }
 
@@ -31,6 +32,7 @@
 	server          *server
 	concurrency     float64 // at the start of the attempt
 	hasEnded        bool
+	isReceiving     bool // its body is not complete, and the server's work has not begun
 	responseStarted bool // the server's work is done and no longer counted as in flight
 }
 
@@ -42,7 +44,7 @@
 	class, known := c.fairness.classIndex[e.Class]
 	*r = request{
 		client: a.client, tenant: e.Tenant, overQuota: a.overQuota, attempts: r.attempts[:0],
-		isStreaming: known && c.settings.Classes[class].Streaming,
+		isStreaming: known && c.settings.Classes[class].Streaming, isBodyPending: e.IsBodyPending,
 	}
 	c.requests[e.ID] = r
 }
@@ -106,13 +108,38 @@
 		c.retryBudget = min(c.retryBudget+retryBudgetFraction, maxRetryBudget)
 	}
 	c.outage.lastSentAt = c.now
-	r.attempts = append(r.attempts, attempt{balancerNumber: number, server: s, concurrency: c.concurrency()})
+	r.attempts = append(r.attempts, attempt{
+		balancerNumber: number, server: s, concurrency: c.concurrency(), isReceiving: r.isBodyPending,
+	})
 	r.openAttempts++
-	s.inFlight++
-	c.inFlight.changeBy(c.now, 1)
+	if !r.isBodyPending {
+		c.changeInFlight(s, 1)
+	}
 	return true
 }
 
+// onBodyComplete counts the request's attempts as in flight: servers begin to work on it.
+func (c *Controller) onBodyComplete(id uint32) {
+	r := c.requests[id]
+	if r == nil || !r.isBodyPending {
+		return
+	}
+	r.isBodyPending = false
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.isReceiving && !a.hasEnded && !a.responseStarted {
+			a.isReceiving = false
+			c.changeInFlight(a.server, 1)
+		}
+	}
+}
+
+// changeInFlight adds to the requests in flight at a server and in total.
+func (c *Controller) changeInFlight(s *server, change int) {
+	s.inFlight += change
+	c.inFlight.changeBy(c.now, change)
+}
+
 // suppressReason is why an attempt of the balancer is not made.
 type suppressReason uint8
 
@@ -203,9 +230,8 @@
 
 // removeFromInFlight removes an attempt from the requests in flight, once.
 func (c *Controller) removeFromInFlight(a *attempt) {
-	if !a.responseStarted {
-		a.server.inFlight--
-		c.inFlight.changeBy(c.now, -1)
+	if !a.responseStarted && !a.isReceiving {
+		c.changeInFlight(a.server, -1)
 	}
 }
 
--- a/internal/overload/controller.go
+++ b/internal/overload/controller.go
@@ -163,6 +163,8 @@
 	switch e := ev.(type) {
 	case *balancer.Request:
 		return c.admit(e)
+	case *balancer.BodyComplete:
+		c.onBodyComplete(e.ID)
 	case *balancer.AttemptDone:
 		return c.onAttemptDone(e)
 	case *balancer.StreamStarted:
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -147,6 +147,7 @@
 		r.arrival = balancer.Request{
 			ID: req.id, WorkHint: in.WorkHint, Key: in.Key, Tenant: in.Tenant, Class: in.Class,
 			ClientTimeout: max(min(req.deadline-now, in.TimeLeft), 0), ClientRetry: in.IsRetry,
+			IsBodyPending: req.clientTimeLeft > 0,
 		}
 		r.decide(now, &r.arrival)
 	}
@@ -190,6 +191,7 @@
 			})
 		}
 	}
+	r.decide(arrivedAt, &balancer.BodyComplete{ID: id})
 	return r.out
 }
 
