Servers are not blamed for the time in which this process did not run

Cause: a connect that timed out while this process was not scheduled was taken for a server that can't be reached. The connection may have been established long before; the timer of the dial, which had run out meanwhile, wins. The overload controller also counted attempts whose time was over while the process did not run, which the outlier detector leaves out.

The controller leaves out what the detector leaves out (outlier.Evidence.IsLocal).

TestLocalShortageIsNoOutage has the same case for the controller; without the change that part fails.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -89,12 +89,15 @@
 		limit := min(timeout, time.Until(end))
 		e.conn, e.err = transport.DialUpstream(e.attempt.ctx, e.attempt.endpoint, e.checkout.Addr, limit,
 			s.descriptors, s.bodies, &e.upstream.times, e.upstream.idleConnectionEnded)
-		s.connectTimeouts.record(began, e.err)
+		isLate := e.err != nil && time.Since(began)-limit > maxTimerDelay // it may have been established meanwhile
+		if !isLate {
+			s.connectTimeouts.record(began, e.err)
+		}
 		if e.err == nil {
 			return true
 		}
 		e.result.Refused = errors.Is(e.err, syscall.ECONNREFUSED)
-		e.result.LocalFault = transport.IsLocalFault(e.err)
+		e.result.LocalFault = isLate || transport.IsLocalFault(e.err)
 		if !e.result.LocalFault || errors.Is(e.err, transport.ErrNoDescriptor) || !e.attempt.sleepUntil(wait, end) {
 			return false
 		}
--- a/internal/balancer/outlier/evidence.go
+++ b/internal/balancer/outlier/evidence.go
@@ -71,11 +71,14 @@
 	quickFailureFraction = 0.25                   // timeout fraction; quicker connect failures count as refused
 )
 
+// IsLocal reports whether the end of an attempt may be due to the agent itself.
+func (e *Evidence) IsLocal() bool { return e.LocalShortage || e.ActedLateBy > maxLateness }
+
 // cause returns the cause of an attempt's failure, or causeNone if its end is no evidence against the server.
 // Without observations of the transport, a quick connect failure counts as refused. A timeout without a
 // response is causeNoResponse; the detector decides whether it is causeLateResponse. Times are in seconds.
 func (e *Evidence) cause(outcome Outcome, took, timeout float64) cause {
-	if e.LocalShortage || e.ActedLateBy > maxLateness {
+	if e.IsLocal() {
 		return causeNone
 	}
 	switch outcome {
--- a/internal/overload/attempts.go
+++ b/internal/overload/attempts.go
@@ -204,7 +204,8 @@
 	a.hasEnded = true
 	r.openAttempts--
 	c.removeFromInFlight(a)
-	if !e.Evidence.LocalShortage {
+	isLocal := e.Evidence.IsLocal()
+	if !isLocal {
 		c.throttle.recordAttemptEnd(c.now, e.Outcome)
 	}
 	if e.Outcome == balancer.Served {
@@ -215,7 +216,7 @@
 		}
 		c.retryAfters.forget(c.now, r.client)
 	}
-	if !e.Evidence.LocalShortage { // a shortage at this agent is no evidence about its servers
+	if !isLocal || e.Outcome == balancer.Served { // else it is no evidence about its servers
 		c.recordAttemptEnd(a.server, e.Outcome)
 	}
 	r.isAnswered = r.isAnswered || e.RequestDone
--- a/internal/overload/outage_test.go
+++ b/internal/overload/outage_test.go
@@ -110,25 +110,32 @@
 }
 
 // TestLocalShortageIsNoOutage checks that servers still count as healthy when this agent has no file
-// descriptors left for connections.
+// descriptors left for connections, or was not scheduled when its attempts' time was over.
 func TestLocalShortageIsNoOutage(t *testing.T) {
-	c, err := NewWithBalancer(deployment(1, 0), Config{}, 1)
-	require.NoError(t, err)
-	now := epoch
-	c.Step(now, &balancer.ServerListUpdate{Kind: balancer.UpdateFull, Servers: []balancer.Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}})
-	for id := range uint32(200) {
-		now += 10 * time.Millisecond
-		for _, a := range c.Step(now, &balancer.Request{ID: id, Class: "consult", ClientTimeout: time.Second}) {
-			if a.Kind == balancer.Send {
-				c.Step(now, &balancer.AttemptDone{
-					ID: id, Server: a.Server, Outcome: balancer.ConnectFailed,
-					Evidence: outlier.Evidence{Phase: outlier.PhaseConnecting, LocalShortage: true},
-				})
+	for name, tt := range map[string]struct {
+		outcome  balancer.Outcome
+		evidence outlier.Evidence
+	}{
+		"no descriptors": {balancer.ConnectFailed, outlier.Evidence{Phase: outlier.PhaseConnecting, LocalShortage: true}},
+		"not scheduled":  {balancer.TimedOut, outlier.Evidence{Phase: outlier.PhaseAwaiting, ActedLateBy: time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := NewWithBalancer(deployment(1, 0), Config{}, 1)
+			require.NoError(t, err)
+			now := epoch
+			c.Step(now, &balancer.ServerListUpdate{Kind: balancer.UpdateFull, Servers: []balancer.Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}}})
+			for id := range uint32(200) {
+				now += 10 * time.Millisecond
+				for _, a := range c.Step(now, &balancer.Request{ID: id, Class: "consult", ClientTimeout: time.Second}) {
+					if a.Kind == balancer.Send {
+						c.Step(now, &balancer.AttemptDone{ID: id, Server: a.Server, Outcome: tt.outcome, Evidence: tt.evidence})
+					}
+				}
 			}
-		}
+			require.Equal(t, phaseNormal, c.outage.phase)
+			require.Equal(t, 2, c.serverCounts.working)
+		})
 	}
-	require.Equal(t, phaseNormal, c.outage.phase)
-	require.Equal(t, 2, c.serverCounts.working)
 }
 
 // TestOutageDoesNotConfirmServerList checks that a reset of servers by the controller does not count as an
