A response that begins while its attempt's timer is being extended is not dropped

Cause: startResponse went by time.Timer.Stop, which is false in both cases. Change: attemptTimeout knows whether the attempt has timed out, and decides under one lock. The same holds for a reschedule that crosses the timer, and for the time in which what arrived before is read (20 ms): a long response that begins in it is passed on.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -21,7 +21,10 @@
 	ctx       context.Context // canceled when the attempt is given up, with a routing.EndReason as the cause
 	cancelCtx context.CancelCauseFunc
 	cancel    context.CancelCauseFunc // stops the timer as well
-	timer     *time.Timer             // calls timeOut at giveUpAt; accessed only by the agent's actor
+	timeout   attemptTimeout
+	// readsLate means that the attempt's time is over, and what arrived before is being read. Accessed only by
+	// timeOut.
+	readsLate bool
 	writeBy   time.Time               // when it must have been written; zero: at any time
 	// serverTime is the endpoint's time for a buffered request, counted from when it has the last byte.
 	serverTime time.Duration
@@ -57,8 +60,8 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	a.ctx = ctx
 	a.cancelCtx, a.serverTime = cancel, giveUpAt.Sub(a.sent)
-	a.timer = time.AfterFunc(giveUpAt.Sub(a.sent), a.timeOut)
-	a.cancel = func(why error) { a.timer.Stop(); cancel(why) }
+	a.timeout.start(giveUpAt.Sub(a.sent), a.timeOut)
+	a.cancel = func(why error) { a.timeout.stop(); cancel(why) }
 	if start.WriteBy != 0 {
 		a.writeBy = c.time(start.WriteBy)
 		late := time.AfterFunc(time.Until(a.writeBy), a.cancelIfUnsent)
@@ -74,37 +77,40 @@
 	lateReadTime = 20 * time.Millisecond
 )
 
-// timeOut ends the attempt, unless the endpoint is still taking its request. If the timer is late, the
-// response may have arrived in time all the same, and is read first.
-func (a *attempt) timeOut() {
-	if a.extendForUptake() {
-		return
+// timeOut ends the attempt, or returns for how much longer it lasts: the endpoint is still taking its request,
+// or the time was changed meanwhile. If the timer is late, the response may have arrived in time all the same,
+// and is read first.
+func (a *attempt) timeOut() (extension time.Duration) {
+	if left := time.Until(a.deadlines.Load().giveUpAt); left > 0 {
+		return left
 	}
-	if time.Since(a.deadlines.Load().giveUpAt) > maxTimerDelay {
-		time.AfterFunc(lateReadTime, func() { a.cancelCtx(routing.TimedOut) })
-		return
+	if extension = a.extensionForUptake(); extension > 0 {
+		return extension
+	}
+	if !a.readsLate && time.Since(a.deadlines.Load().giveUpAt) > maxTimerDelay {
+		a.readsLate = true
+		return lateReadTime
 	}
 	a.cancelCtx(routing.TimedOut)
+	return 0
 }
 
-// extendForUptake gives the attempt its time anew if the endpoint has had the whole request only for a part
-// of it, or is still taking it, and reports whether it did. The request's deadline stays.
-func (a *attempt) extendForUptake() bool {
+// extensionForUptake returns for how much longer the attempt lasts, since the endpoint has had the whole
+// request only for a part of its time, or is still taking it. The request's deadline stays.
+func (a *attempt) extensionForUptake() time.Duration {
 	watch, d := a.uptake.Load(), a.deadlines.Load()
 	if watch == nil || a.request.Rest != nil {
-		return false
+		return 0
 	}
 	end := watch.attemptEnd(d.giveUpAt, a.serverTime)
 	if end.After(d.deadline) {
 		end = d.deadline
 	}
-	if !end.After(time.Now()) {
-		return false
-	}
-	if a.deadlines.CompareAndSwap(d, &attemptDeadlines{giveUpAt: end, deadline: d.deadline}) {
-		a.timer.Reset(time.Until(end))
+	left := time.Until(end)
+	if left <= 0 || !a.deadlines.CompareAndSwap(d, &attemptDeadlines{giveUpAt: end, deadline: d.deadline}) {
+		return 0
 	}
-	return true
+	return left
 }
 
 // waitUntilWritable waits for delay, after which a reused connection may be written. It returns early if the
@@ -192,9 +198,7 @@
 // reschedule changes the deadlines, now that the request's body is complete.
 func (a *attempt) reschedule(giveUpAt, deadline time.Time) {
 	a.deadlines.Store(&attemptDeadlines{giveUpAt: giveUpAt, deadline: deadline})
-	if a.timer.Stop() { // else the attempt has timed out
-		a.timer.Reset(time.Until(giveUpAt))
-	}
+	a.timeout.reset(time.Until(giveUpAt))
 }
 
 // announcedTimeout returns the attempt's remaining time, which is sent to the endpoint with the request.
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -211,7 +211,7 @@
 // startResponse handles the beginning of a response that is too long to be buffered.
 func (a *Agent) startResponse(now time.Duration, m responseStarted) {
 	a.response = m.response
-	if m.attempt.timer.Stop() { // else the attempt has timed out, and attemptEnded follows
+	if m.attempt.timeout.stop() { // else the attempt has timed out, and attemptEnded follows
 		a.carryOutAll(a.router.ResponseStarted(now, m.attempt.request.id, m.attempt.number))
 	}
 	a.closeUnusedResponse()
