A sound response like the one before is held back, not dropped, while its server is new

Cause, by the request's log at level DEBUG: the answers to two requests were alike ("65535 true"). The first of this server took 12 to 25 ms, on a loaded machine; the second came in under half of that, within 50 ms, and was taken for a second copy of the first. One sample stood for "the server can't be faster".

Change: below eight samples, what looks like a copy is held back. If another response follows on the connection, it was one, and is dropped as before; if the attempt or the connection ends first, it is the request's response.

TestLikeResponsesAreNoCopies gives its server eight samples for the case that drops; TestLikeResponseOfLittleKnownServerIsNotLost has the new one.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -25,7 +25,7 @@
 	// readsLate means that the attempt's time is over, and what arrived before is being read. Accessed only by
 	// timeOut.
 	readsLate bool
-	writeBy   time.Time               // when it must have been written; zero: at any time
+	writeBy   time.Time // when it must have been written; zero: at any time
 	// serverTime is the endpoint's time for a buffered request, counted from when it has the last byte.
 	serverTime time.Duration
 	uptake     atomic.Pointer[uptakeWatch] // nil: not watched
--- a/internal/transport/secondresponse.go
+++ b/internal/transport/secondresponse.go
@@ -24,11 +24,16 @@
 // crosses the next request has to come within the time through the network.
 const minJudgedTime = 10 * time.Millisecond
 
+// minSamples is the number of responses from which a server's shortest time is certain. Fewer may all have
+// been slow for a reason that has passed.
+const minSamples = 8
+
 // ResponseTimes are what is known of how fast a server can answer. It is safe for concurrent use; nil knows
 // nothing.
 type ResponseTimes struct {
 	mu      sync.Mutex
 	fastest time.Duration // zero: not known
+	samples int
 }
 
 // record records the time of a response that certainly belongs to its request.
@@ -38,11 +43,22 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.samples++
 	if t.fastest == 0 || latency < t.fastest {
 		t.fastest = latency
 	}
 }
 
+// isCertain reports whether the server's shortest time is known from many responses.
+func (t *ResponseTimes) isCertain() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.samples >= minSamples
+}
+
 // isTooFast reports whether the server can hardly have answered in this time.
 func (t *ResponseTimes) isTooFast(latency time.Duration) bool {
 	if t == nil {
@@ -121,6 +137,24 @@
 // drop records that a copy was dropped.
 func (s *secondCopies) drop() { s.droppedAfter = s.latency }
 
+// heldResponse is a response that may be a second copy of the one before, from a server of which little is
+// known. If another one follows before its attempt ends, it is a copy, else it is the request's response.
+type heldResponse struct {
+	protocol.UpstreamResponse
+	print   fingerprint
+	latency time.Duration
+}
+
+// release frees the memory of a response that is a copy.
+func (h *heldResponse) release() { h.BodyStream.CloseRead() }
+
+// accept records that a held response was no copy: the server is that fast.
+func (s *secondCopies) accept(h *heldResponse) {
+	s.times.record(h.latency)
+	s.canBeRecorded = false
+	s.end(&h.print, h.Outcome)
+}
+
 // connectionEnded records that no response follows. If a copy was dropped, it was none: the server is that
 // fast.
 func (s *secondCopies) connectionEnded() {
--- a/internal/transport/secondresponse_test.go
+++ b/internal/transport/secondresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -119,31 +120,36 @@
 	require.Empty(t, started)
 }
 
+// serveAlike answers every request alike, the first after one delay and the others after another.
+func serveAlike(server net.Conn, first, others time.Duration) {
+	in := bufio.NewReader(server)
+	for delay := first; ; delay = others {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		time.Sleep(delay)
+		if _, err := io.WriteString(server, served("ok")); err != nil {
+			return
+		}
+	}
+}
+
 // A server whose responses are all alike is not suspected as long as they take as long as ever. One that proves to be
 // faster than known is not suspected again.
 func TestLikeResponsesAreNoCopies(t *testing.T) {
 	times := &ResponseTimes{}
-	serve := func(server net.Conn, first, others time.Duration) {
-		in := bufio.NewReader(server)
-		for delay := first; ; delay = others {
-			if _, err := http.ReadRequest(in); err != nil {
-				return
-			}
-			time.Sleep(delay)
-			if _, err := io.WriteString(server, served("ok")); err != nil {
-				return
-			}
-		}
+	for range minSamples {
+		times.record(workingTime)
 	}
 	u, server := timedPair(t, times)
-	go serve(server, workingTime, workingTime)
+	go serveAlike(server, workingTime, workingTime)
 	for range 5 {
 		body, reuse := bodyOf(t, u)
 		require.Equal(t, "ok", body)
 		require.True(t, reuse)
 	}
 	u, server = timedPair(t, times)
-	go serve(server, workingTime, 0)
+	go serveAlike(server, workingTime, 0)
 	_, _ = bodyOf(t, u)
 	ended := time.AfterFunc(100*time.Millisecond, u.Close)
 	defer ended.Stop()
@@ -152,3 +158,31 @@
 	require.NotErrorIs(t, err, ErrNotWritten)
 	require.Eventually(t, func() bool { return !times.isTooFast(workingTime / 4) }, 15*time.Second, time.Millisecond)
 }
+
+// Guards against a sound response that is dropped since it is like the one before and comes sooner than that: the first
+// responses of a server may have been slow for a reason that has passed. It is given when its attempt ends, or the
+// connection does.
+func TestLikeResponseOfLittleKnownServerIsNotLost(t *testing.T) {
+	for name, end := range map[string]func(u *UpstreamConn, cancel func()){
+		"the connection ends": func(u *UpstreamConn, _ func()) { u.Close() },
+		"the attempt ends":    func(_ *UpstreamConn, cancel func()) { cancel() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			times := &ResponseTimes{}
+			u, server := timedPair(t, times)
+			go serveAlike(server, workingTime, 0)
+			_, _ = bodyOf(t, u)
+			ctx, cancel := context.WithCancel(testContext(t))
+			defer time.AfterFunc(100*time.Millisecond, func() { end(u, cancel) }).Stop()
+			response, reuse, err := u.RoundTrip(ctx, getRequest)
+			require.NoError(t, err)
+			require.False(t, reuse)
+			require.Equal(t, balancer.Served, response.Outcome)
+			b, err := response.BodyStream.ReadBuffer()
+			require.NoError(t, err)
+			require.Equal(t, "ok", string(b))
+			response.BodyStream.CloseRead()
+			require.False(t, times.isTooFast(workingTime/4))
+		})
+	}
+}
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -47,6 +47,7 @@
 	done      chan struct{} // closed when the connection is not read any more
 	release   func()
 	copies    secondCopies
+	held      *heldResponse // accessed only by the goroutine that reads; nil: none
 
 	isWriting atomic.Bool // a part of a streamed request is being written
 
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -19,28 +19,44 @@
 // readOwnResponse reads the response to a request, after second copies of the response before it.
 func (u *UpstreamConn) readOwnResponse(request *UpstreamRequest) (protocol.UpstreamResponse, error) {
 	for hasDropped := false; ; hasDropped = true {
-		if _, err := u.peekResponse(); err != nil {
-			u.copies.connectionEnded()
-			return protocol.UpstreamResponse{}, u.classifyReadError(err)
+		if err := u.peekResponse(); err != nil {
+			return u.endOfResponses(err)
+		}
+		if u.held != nil {
+			u.held.release()
+			u.held = nil
 		}
 		u.copies.begin(time.Now().Add(-u.TimeSinceData()), request)
 		response, err := u.readResponse(request)
 		response.Close = response.Close || hasDropped // others may follow
-		if !errors.Is(err, errSecondCopy) {
+		if u.held == nil && !errors.Is(err, errSecondCopy) {
 			return response, err
 		}
 		u.copies.drop()
 	}
 }
 
+// endOfResponses returns the response that was held back, if there is one: none has followed it. The
+// connection has ended, or its attempt has.
+func (u *UpstreamConn) endOfResponses(err error) (protocol.UpstreamResponse, error) {
+	if held := u.held; held != nil {
+		u.held = nil
+		u.copies.accept(held)
+		held.Close = true
+		return held.UpstreamResponse, nil
+	}
+	u.copies.connectionEnded()
+	return protocol.UpstreamResponse{}, u.classifyReadError(err)
+}
+
 // peekResponse waits for the first byte of a response.
-func (u *UpstreamConn) peekResponse() ([]byte, error) {
+func (u *UpstreamConn) peekResponse() error {
 	u.limited.N = maxResponseOverhead
-	b, err := u.reader.Peek(1)
+	_, err := u.reader.Peek(1)
 	if err == io.EOF { //nolint:errorlint // as bufio returns it
 		err = io.ErrUnexpectedEOF
 	}
-	return b, err
+	return err
 }
 
 // readResponse reads a response. Its error distinguishes one that was cut off with its connection from an
@@ -61,6 +77,10 @@
 	if err != nil {
 		return protocol.UpstreamResponse{}, u.classifyReadError(err)
 	}
+	if u.held != nil {
+		u.held.UpstreamResponse, u.held.print = response, print
+		return protocol.UpstreamResponse{}, nil
+	}
 	u.copies.end(&print, response.Outcome)
 	// Bytes after the response must not be mistaken for the next response.
 	response.Close = response.Close || u.reader.Buffered() > 0
@@ -105,7 +125,11 @@
 	err = u.copyResponseBody(stream, body, rules, request.Streamed, &start, print)
 	isStarted := start.finish()
 	if !isStarted && (err == nil || err == io.EOF) && u.copies.isCopy(print) { //nolint:errorlint // as below
-		err = errSecondCopy
+		if u.copies.times.isCertain() {
+			err = errSecondCopy
+		} else {
+			u.held = &heldResponse{latency: u.copies.latency}
+		}
 	}
 	if err == nil || err == io.EOF { //nolint:errorlint // a wrapped io.EOF does not mean complete
 		stream.CloseWrite(io.EOF)
