A server's process is known by its start, not by its address

The machine of a server had vanished without a word; a new process came up under its id and address, and discovery told so. The agent wrote the next booking on an open connection to the former process, and that was reset.

Cause: Pool.SetAddress closed connections only if the address had changed. Change: a new time of start in the list (Output ReplaceEndpoint) closes the idle connections to the endpoint, and those in use after their responses. The rehearsal's agent does the same.

--- a/internal/agent/actor.go
+++ b/internal/agent/actor.go
@@ -146,8 +146,8 @@
 		a.list.mail.put(watchList{})
 	case routing.FetchList:
 		a.list.mail.put(fetchList{})
-	case routing.OpenEndpoint, routing.SetEndpointAddress, routing.RemoveEndpoint, routing.DrainEndpoint,
-		routing.ReleaseIdle:
+	case routing.OpenEndpoint, routing.SetEndpointAddress, routing.ReplaceEndpoint, routing.RemoveEndpoint,
+		routing.DrainEndpoint, routing.ReleaseIdle:
 		a.changeUpstream(out)
 	case routing.LogDecision:
 		slog.Info("balancer", "says", out.Text)
@@ -167,6 +167,8 @@
 		a.upstreams[out.Endpoint] = a.openUpstream(out.Addr)
 	case routing.SetEndpointAddress:
 		u.mail.put(addressChanged{out.Addr})
+	case routing.ReplaceEndpoint:
+		u.mail.put(processReplaced{})
 	case routing.RemoveEndpoint:
 		u.mail.put(retire{})
 		delete(a.upstreams, out.Endpoint)
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -35,7 +35,9 @@
 
 // The messages of an upstream's actor, in addition to *attempt.
 type (
-	addressChanged     struct{ addr netip.AddrPort }
+	addressChanged struct{ addr netip.AddrPort }
+	// processReplaced reports that a new process has started at the endpoint.
+	processReplaced    struct{}
 	connectionReturned struct {
 		checkout routing.Checkout[*transport.UpstreamConn]
 		conn     *transport.UpstreamConn // nil: closed
@@ -83,6 +85,8 @@
 		closing = u.pool.ConnectionEnded(m.conn)
 	case addressChanged:
 		closing = u.pool.SetAddress(m.addr)
+	case processReplaced:
+		closing = u.pool.ProcessReplaced()
 	case stopReuse:
 		closing = u.pool.StopReuse()
 	case closeIdleHalf:
@@ -103,6 +107,7 @@
 
 // checkIn returns a connection to the pool. The result is the connections to close.
 func (u *upstream) checkIn(now time.Duration, m connectionReturned) (closing []*transport.UpstreamConn) {
+	hasEnded := u.pool.WasReplaced(m.checkout) || m.conn != nil && m.conn.HasEnded()
 	switch {
 	case m.unansweredSince != 0:
 		return u.pool.ReleaseUnanswered(m.unansweredSince)
@@ -110,12 +115,12 @@
 		u.pool.ReleaseClosed()
 		return nil
 	case m.unused:
-		return u.pool.ReturnUnused(m.checkout, m.conn.HasEnded())
+		return u.pool.ReturnUnused(m.checkout, hasEnded)
 	}
 	if m.rejected {
-		return u.pool.ReleaseRejected(now, m.conn, m.checkout.Addr, m.conn.HasEnded())
+		return u.pool.ReleaseRejected(now, m.conn, m.checkout.Addr, hasEnded)
 	}
-	return u.pool.Release(now, m.conn, m.checkout.Addr, m.conn.HasEnded())
+	return u.pool.Release(now, m.conn, m.checkout.Addr, hasEnded)
 }
 
 // scheduleExpiry sets the timer for the next idle connection to close. A timer that is set for an earlier
--- a/internal/rehearsal/world/agent.go
+++ b/internal/rehearsal/world/agent.go
@@ -380,6 +380,8 @@
 			}
 		case routing.SetEndpointAddress:
 			closeAll(l.upstreams[o.Endpoint].pool.SetAddress(o.Addr))
+		case routing.ReplaceEndpoint:
+			closeAll(l.upstreams[o.Endpoint].pool.ProcessReplaced())
 		case routing.RemoveEndpoint:
 			closeAll(l.upstreams[o.Endpoint].pool.Retire())
 			delete(l.upstreams, o.Endpoint)
--- a/internal/routing/endpoints.go
+++ b/internal/routing/endpoints.go
@@ -13,9 +13,10 @@
 
 // endpointState is the state of an endpoint that requests are or may be sent to, from the list.
 type endpointState struct {
-	state    balancer.ServerState
-	addr     netip.AddrPort // invalid: attempts are not possible
-	hasActor bool           // OpenEndpoint was emitted: an attempt was started
+	state     balancer.ServerState
+	addr      netip.AddrPort // invalid: attempts are not possible
+	startedAt time.Duration  // of its process, which it identifies: an address may get another one
+	hasActor  bool           // OpenEndpoint was emitted: an attempt was started
 }
 
 // open reports whether attempts at the endpoint are possible.
@@ -66,7 +67,7 @@
 		}
 		return
 	case known == nil:
-		known = &endpointState{}
+		known = &endpointState{startedAt: e.StartedAt}
 		r.endpoints[e.ID] = known
 	}
 	known.state = e.State
@@ -75,6 +76,10 @@
 		if known.hasActor {
 			r.emit(Output{Kind: SetEndpointAddress, Endpoint: e.ID, Addr: e.Addr})
 		}
+		if known.hasActor && e.StartedAt != known.startedAt {
+			r.emit(Output{Kind: ReplaceEndpoint, Endpoint: e.ID})
+		}
+		known.startedAt = e.StartedAt
 	}
 	r.drainIfDraining(e.ID, known)
 }
--- a/internal/routing/output.go
+++ b/internal/routing/output.go
@@ -47,6 +47,9 @@
 	OpenEndpoint
 	// SetEndpointAddress sends new connections to another address: Endpoint, Addr. It may be the present one.
 	SetEndpointAddress
+	// ReplaceEndpoint closes idle connections to an endpoint, and those in use after their responses: a new
+	// process has started under its id, at the same address perhaps: Endpoint.
+	ReplaceEndpoint
 	// RemoveEndpoint ends an endpoint's actor: Endpoint. Attempts under way continue to their ends.
 	RemoveEndpoint
 	// DrainEndpoint closes all idle connections to an endpoint, and others when they become idle, until the
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -28,6 +28,7 @@
 	inUse      int                 // attempts under way
 	retired    bool                // the endpoint has left the list
 	noReuse    bool                // connections are closed after their response
+	process    int                 // number of the endpoint's process, from 0
 	closing    []C
 }
 
@@ -50,7 +51,8 @@
 	IdleFor    time.Duration // idle time of the connection after WriteDelay, if Reused
 	Addr       netip.AddrPort
 
-	entry idleConnection[C] // the pool's entry, if Reused
+	entry   idleConnection[C] // the pool's entry, if Reused
+	process int               // number of the endpoint's process
 }
 
 // NewPool returns the pool of an endpoint at an address. reuseDelay is the minimum time between a response
@@ -70,7 +72,7 @@
 	p.removeMatching(func(c idleConnection[C]) bool { return max(now, c.writableAt)-c.since > limit })
 	at, ok := p.best(now)
 	if !ok {
-		return Checkout[C]{Addr: p.addr}, p.closing
+		return Checkout[C]{Addr: p.addr, process: p.process}, p.closing
 	}
 	entry := p.idle[at]
 	p.idle = slices.Delete(p.idle, at, at+1)
@@ -78,7 +80,7 @@
 	delay := max(entry.writableAt-now, 0)
 	return Checkout[C]{
 		Reused: true, Conn: entry.conn, WriteDelay: delay, IdleFor: idle + delay, Addr: p.addr,
-		entry: entry,
+		entry: entry, process: p.process,
 	}, p.closing
 }
 
@@ -182,6 +184,16 @@
 	return p.closeMatching(func(idleConnection[C]) bool { return moved })
 }
 
+// ProcessReplaced closes the idle connections: a new process has started at the endpoint.
+func (p *Pool[C]) ProcessReplaced() []C {
+	p.process++
+	return p.closeMatching(func(idleConnection[C]) bool { return true })
+}
+
+// WasReplaced reports whether a new process has started at the endpoint since the checkout: its connection
+// has ended, whether or not its machine has told.
+func (p *Pool[C]) WasReplaced(c Checkout[C]) bool { return c.process != p.process }
+
 // StopReuse closes the idle connections, and until the next SetAddress each connection after its response.
 func (p *Pool[C]) StopReuse() []C {
 	p.noReuse = true
--- a/internal/routing/pool_test.go
+++ b/internal/routing/pool_test.go
@@ -125,3 +125,18 @@
 type fixedLimit time.Duration
 
 func (l fixedLimit) Limit() time.Duration { return time.Duration(l) }
+
+// Connections to a process that was replaced are closed: idle ones at once, others after their responses.
+func TestProcessReplaced(t *testing.T) {
+	p := NewPool[string](firstAddr, NewIdleLimit(0, 10*time.Second), 0)
+	inUse, _ := p.Acquire(0)
+	_, _ = p.Acquire(0)
+	require.Empty(t, p.Release(0, "idle", firstAddr, false))
+	require.False(t, p.WasReplaced(inUse))
+	require.Equal(t, []string{"idle"}, p.ProcessReplaced())
+	require.True(t, p.WasReplaced(inUse))
+	require.Equal(t, []string{"used"}, p.Release(0, "used", firstAddr, p.WasReplaced(inUse)))
+	next, _ := p.Acquire(0)
+	require.False(t, next.Reused)
+	require.False(t, p.WasReplaced(next))
+}
--- a/internal/routing/simulation_test.go
+++ b/internal/routing/simulation_test.go
@@ -208,6 +208,8 @@
 			d.pools[o.Endpoint] = NewPool[int](o.Addr, d.limit, ReuseDelay)
 		case SetEndpointAddress:
 			d.close(d.pools[o.Endpoint].SetAddress(o.Addr))
+		case ReplaceEndpoint:
+			d.close(d.pools[o.Endpoint].ProcessReplaced())
 		case RemoveEndpoint:
 			d.close(d.pools[o.Endpoint].Retire())
 			d.retired = append(d.retired, d.pools[o.Endpoint])
