--- a/cmd/dunestep/incidentsoak_test.go
+++ b/cmd/dunestep/incidentsoak_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -27,7 +29,8 @@
 var shortIncidentSoak = [2]uint64{1, 6}
 
 // incidentSoak is one run: endpoints that read slowly, with large and small receive buffers, clients with long and short
-// requests that use their connections until the kill, signals in series, and in some runs a crowd or a flood.
+// requests that use their connections until the kill, clients that leave and repeat their ids, signals in series, and in some
+// runs a crowd or a flood.
 type incidentSoak struct {
 	*testbed
 	random       *rand.Rand
@@ -40,7 +43,7 @@
 }
 
 // Each request that the agent has taken gets its final answer in time, whoever is slow, up to the kill at the earliest moment
-// that the operators name; those that were rejected have not run; the process stays within its memory and ends by itself.
+// that the operators name; those that were rejected have not run, and no booking runs twice; the process stays within its memory and ends by itself.
 func TestIncidentSoak(t *testing.T) { // not in parallel with others, whose bounds are in real time
 	seeds := shortIncidentSoak
 	if text := os.Getenv(incidentSoakSeedsEnv); text != "" {
@@ -72,6 +75,8 @@
 		clients.Go(func() { s.sendLongRequests(long) })
 		clients.Go(func() { s.sendShortRequests(short) })
 	}
+	leaving := rand.New(rand.NewPCG(seed, 300))
+	clients.Go(func() { s.leaveAndRepeat(leaving) })
 	endTrouble := s.startTrouble(seed)
 	s.sendSignals()
 	peak, _ := s.memoryKiB()
@@ -172,6 +177,25 @@
 	}
 }
 
+// leaveAndRepeat sends bookings, leaves after a moment, and sends their ids again while they are open or later, until the
+// process has ended.
+func (s *incidentSoak) leaveAndRepeat(random *rand.Rand) {
+	var ids []string
+	for !s.isOver() {
+		id := s.nextID()
+		if len(ids) > 0 && random.IntN(2) == 0 {
+			id = ids[random.IntN(len(ids))]
+		}
+		ids = append(ids, id)
+		if c, err := net.DialTimeout("tcp", s.addr, time.Second); err == nil {
+			_, _ = io.WriteString(c, s.idRequest("rezervare", id))
+			time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+			_ = c.Close()
+		}
+		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+	}
+}
+
 // recordShort records how a short request ended. From SIGTERM on, its connection may be closed or refused unread.
 func (s *incidentSoak) recordShort(load *usualLoad) {
 	s.mu.Lock()
@@ -196,13 +220,22 @@
 		rejected[r.id] = r.status == http.StatusServiceUnavailable
 		statuses[r.status]++
 	}
+	bookings := map[string]int{}
 	for _, server := range s.servers {
 		for _, a := range server.attempts() {
+			if strings.HasPrefix(a.URL.Path, "/rezervare/") {
+				bookings[correlationID(a)]++
+			}
 			if rejected[correlationID(a)] && strings.HasPrefix(a.URL.Path, "/rezervare/") {
 				err = errors.Join(err, fmt.Errorf("%s was rejected, and has run", correlationID(a)))
 			}
 		}
 	}
+	for id, runs := range bookings {
+		if runs > 1 {
+			err = errors.Join(err, fmt.Errorf("%s has run %d times", id, runs))
+		}
+	}
 	s.t.Logf("seed %d: long %v, short served %d, peak %d kB", seed, statuses, s.served, peakKB)
 	err = errors.Join(err, errors.Join(s.short...))
 	if code := s.process.ProcessState.ExitCode(); code != 0 {
