--- a/cmd/dunestep/crowdupgrade_test.go
+++ b/cmd/dunestep/crowdupgrade_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -36,7 +35,7 @@
 	next.launch()
 	processes = append(processes, next)
 	next.awaitReady()
-	require.True(t, strings.Contains(next.log.String(), "taking over from the running process"))
+	require.Contains(t, next.log.String(), "taking over from the running process")
 	watch(spanBeside)
 	beside := peak
 	require.Zero(t, w.stop())
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -77,9 +77,9 @@
 	lateReadTime = 20 * time.Millisecond
 )
 
-// timeOut ends the attempt, or returns for how much longer it lasts: the endpoint is still taking its request,
-// or the time was changed meanwhile. If the timer is late, the response may have arrived in time all the same,
-// and is read first.
+// timeOut ends the attempt, or returns for how much longer it lasts: the endpoint is still taking its
+// request, or the time was changed meanwhile. If the timer is late, the response may have arrived in time all
+// the same, and is read first.
 func (a *attempt) timeOut() (extension time.Duration) {
 	if left := time.Until(a.deadlines.Load().giveUpAt); left > 0 {
 		return left
--- a/internal/agent/attempttimeout.go
+++ b/internal/agent/attempttimeout.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// attemptTimeout is the timer of an attempt. Whoever stops it knows whether the attempt has timed out: a timer
-// alone can't tell, as it may have fired and be about to be extended. It is safe for concurrent use.
+// attemptTimeout is the timer of an attempt. Whoever stops it knows whether the attempt has timed out: a
+// timer alone can't tell, as it may have fired and be about to be extended. It is safe for concurrent use.
 type attemptTimeout struct {
 	mu      sync.Mutex
 	timer   *time.Timer
--- a/internal/balancer/events.go
+++ b/internal/balancer/events.go
@@ -100,8 +100,8 @@
 	Evidence    outlier.Evidence // details of the outcome from the transport; zero: none
 }
 
-// BodyComplete reports that a request with IsBodyPending has its last byte: servers that have an attempt of it
-// begin to work on it.
+// BodyComplete reports that a request with IsBodyPending has its last byte: servers that have an attempt of
+// it begin to work on it.
 type BodyComplete struct{ ID uint32 }
 
 // StreamStarted reports that an attempt's response has begun to stream to the client.
--- a/internal/handover/claims.go
+++ b/internal/handover/claims.go
@@ -89,8 +89,8 @@
 	return result
 }
 
-// Release gives back an id that was claimed, whatever the result of the claim was or will be. A claim that was
-// not sent yet is withdrawn.
+// Release gives back an id that was claimed, whatever the result of the claim was or will be. A claim that
+// was not sent yet is withdrawn.
 func (c *Claimant) Release(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/handover/memoryfaults.go
+++ b/internal/handover/memoryfaults.go
@@ -37,9 +37,9 @@
 // Write writes b.
 func (c patientConn) Write(b []byte) (written int, err error) {
 	err = untilMemory(func() error {
-		n, err := c.UnixConn.Write(b[written:])
+		n, writeErr := c.UnixConn.Write(b[written:])
 		written += n
-		return err
+		return writeErr
 	})
 	return written, err
 }
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -50,9 +50,9 @@
 	Manual *ManualSettings `json:"hand,omitempty"`
 	// Descriptors is the maximum number of file descriptors that the receiver may use from now on.
 	Descriptors int `json:"sockets,omitempty"`
-	// Claim and Release concern ids of requests at the next process, ClaimResult answers a Claim. Retained is an
-	// id whose request may have run, at the sender or beyond, and must not run again; at the previous process, it
-	// is a Release as well.
+	// Claim and Release concern ids of requests at the next process, ClaimResult answers a Claim. Retained is
+	// an id whose request may have run, at the sender or beyond, and must not run again; at the previous
+	// process, it is a Release as well.
 	Claim       *Claim       `json:"claim,omitempty"`
 	ClaimResult *ClaimResult `json:"claim_result,omitempty"`
 	Release     string       `json:"release,omitempty"`
@@ -165,7 +165,7 @@
 	return err
 }
 
-// writeOffer writes the offer with the descriptors. The new process waits for it, so it is late after a while.
+// writeOffer writes the offer with the descriptors. The new process waits for it for a limited time.
 func (p *Peer) writeOffer(offer Offer, descriptors []int) error {
 	p.writing.Lock()
 	defer p.writing.Unlock()
@@ -175,9 +175,9 @@
 	return writeFrame(p.conn, offer, descriptors)
 }
 
-// Notify queues a notification and does not wait for the other process. Before SendOffer nothing is sent, since
-// the other process would mistake it for the offer. The result is closed once the connection has taken the
-// notification, or has ended. It is safe for concurrent use.
+// Notify queues a notification and does not wait for the other process. Before SendOffer nothing is sent,
+// since the other process would mistake it for the offer. The result is closed once the connection has taken
+// the notification, or has ended. It is safe for concurrent use.
 func (p *Peer) Notify(n Notification) (sent <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/syscallfaults_linux.go
+++ b/internal/standin/syscallfaults_linux.go
@@ -227,9 +227,9 @@
 	return fmt.Errorf("exec of %s: %w", path, syscall.Exec(path, args, env))
 }
 
-// installListener puts the calling thread under a filter and returns its listener. A signal does not interrupt
-// a call that the listener has received: the program would repeat it, and a call that was carried out here
-// would take effect twice. Linux before 5.19 does not have that.
+// installListener puts the calling thread under a filter and returns its listener. A signal does not
+// interrupt a call that the listener has received: the program would repeat it, and a call that was carried
+// out here would take effect twice. Linux before 5.19 does not have that.
 func installListener(filter []unix.SockFilter) (uintptr, error) {
 	const flags = unix.SECCOMP_FILTER_FLAG_NEW_LISTENER
 	listener, err := installFilter(filter, flags|unix.SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV)
