An id can't be opened in the moment between the end of its request and its retention

Found by reading the change again, not seen by callers: an id was looked for among the retained ones before it was opened; one that was retained and closed in between could be opened, and its request run again. It is opened first now; an id is retained before it is closed.

TestIDIsInUseWhileItIsRetained: failed at the 199th of 20,000 tries before, passes now; tests of ids pass.

--- a/cmd/dunestep/openids_test.go
+++ b/cmd/dunestep/openids_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"dunestep/internal/agent"
 )
 
 // idRequest returns a request of a class with an id, in wire format.
@@ -241,3 +243,23 @@
 	clients[1].refused("rezervare", id)
 	require.Equal(t, 1, w.runs(id))
 }
+
+// Guards against an id that is opened in the moment between the end of its request and its retention.
+func TestIDIsInUseWhileItIsRetained(t *testing.T) {
+	const tries = 20_000
+	var ids sharedIDs
+	for n := range tries {
+		id := fmt.Sprintf("%016x", n)
+		require.Equal(t, agent.IDOpened, ids.Open(t.Context(), id))
+		retained := make(chan struct{})
+		go func() { ids.Retain(id); close(retained) }()
+		for isRetained := false; !isRetained; {
+			select {
+			case <-retained:
+				isRetained = true
+			default:
+			}
+			require.Equal(t, agent.IDInUse, ids.Open(t.Context(), id), "id %d", n)
+		}
+	}
+}
--- a/cmd/dunestep/requestids.go
+++ b/cmd/dunestep/requestids.go
@@ -21,7 +21,7 @@
 
 // Open opens an id at this process.
 func (r *sharedIDs) Open(ctx context.Context, id string) agent.IDState {
-	if r.retained.Has(id, time.Now()) || !r.registry.Open(id, openids.ThisProcess) {
+	if !r.open(id, openids.ThisProcess) {
 		return agent.IDInUse
 	}
 	previous := r.previous.Load()
@@ -40,6 +40,19 @@
 	}
 }
 
+// open opens an id for its owner, unless it is open or retained. It is opened first: an id is retained before
+// it is closed.
+func (r *sharedIDs) open(id string, owner openids.Owner) bool {
+	if !r.registry.Open(id, owner) {
+		return false
+	}
+	if r.retained.Has(id, time.Now()) {
+		r.registry.Close(id, owner)
+		return false
+	}
+	return true
+}
+
 // Close closes an id of this process.
 func (r *sharedIDs) Close(id string) { r.release(id, openids.ThisProcess) }
 
@@ -116,7 +129,7 @@
 func (r *sharedIDs) answer(next *handover.Peer, claim handover.Claim) {
 	result := handover.ClaimResult{Number: claim.Number}
 	previous := r.previous.Load()
-	result.InUse = r.retained.Has(claim.ID, time.Now()) || !r.registry.Open(claim.ID, openids.NextProcess)
+	result.InUse = !r.open(claim.ID, openids.NextProcess)
 	if result.InUse || previous == nil {
 		next.Notify(handover.Notification{ClaimResult: &result})
 		return
