Logs: the head of a response, and why servers were skipped

Need: a response's head left no trace. An attempt that ended after its head, and before its body, was logged as "awaiting response"; a request that got no server was logged with no reason for any server.

Change: "response begun" at level DEBUG; "attempt ended" tells when the head was read, what was received and whether it was passed on; "request answered" tells why servers were skipped, by reason (balancer.SkipCounts). Nothing is decided by them.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -35,9 +35,10 @@
 	written time.Time // when the last byte was written; zero: not yet
 
 	mu       sync.Mutex
-	obsolete bool // the request has its response, or its client has left
-	writing  bool // the attempt is being written, or has been
-	isWhole  bool // the last byte has been written
+	obsolete bool      // the request has its response, or its client has left
+	writing  bool      // the attempt is being written, or has been
+	isWhole  bool      // the last byte has been written
+	headAt   time.Time // when the head of its response was read; zero: not yet
 }
 
 // attemptDeadlines are the deadlines of an attempt. They change once, when its request's body is complete.
@@ -195,6 +196,25 @@
 	a.isWhole = true
 }
 
+// recordHead records that the head of the attempt's response was read.
+func (a *attempt) recordHead(head transport.ResponseHead) {
+	a.mu.Lock()
+	a.headAt = time.Now()
+	a.mu.Unlock()
+	logResponseBegun(a, head.Length)
+}
+
+// headAfter returns how long after the start of the endpoint's time the head of its response was read; zero:
+// it was not.
+func (a *attempt) headAfter() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.headAt.IsZero() {
+		return 0
+	}
+	return a.headAt.Sub(a.sent)
+}
+
 // reschedule changes the deadlines, now that the request's body is complete.
 func (a *attempt) reschedule(giveUpAt, deadline time.Time) {
 	a.deadlines.Store(&attemptDeadlines{giveUpAt: giveUpAt, deadline: deadline})
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -125,8 +125,9 @@
 		Body: r.Body, Rest: r.Rest, Chunked: r.Length < 0,
 		Streamed: a.streams, IsGraphQL: r.IsGraphQL,
 		// Asked again: this process may not have been scheduled since beginWriting.
-		MayWrite:  func() bool { mayWrite = a.beginWriting(); return mayWrite },
-		OnWritten: func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
+		MayWrite:       func() bool { mayWrite = a.beginWriting(); return mayWrite },
+		OnWritten:      func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
+		OnResponseHead: a.recordHead,
 		OnResponseStart: func(response protocol.UpstreamResponse) {
 			e.streamed = response.BodyStream
 			e.startStreaming(response)
--- a/internal/agent/requestlog.go
+++ b/internal/agent/requestlog.go
@@ -31,8 +31,8 @@
 func logResponse(r *request, out *routing.Output) {
 	if logsRequests() {
 		slog.Debug("request answered", "id", r.CorrelationID, "result", responseKindNames[out.Result],
-			"reason", out.Cause, "attempts", len(r.attempts), "after", time.Since(r.ArrivedAt),
-			"had", r.TimeLeft)
+			"reason", out.Cause, "skipped", out.Skipped, "attempts", len(r.attempts),
+			"after", time.Since(r.ArrivedAt), "had", r.TimeLeft)
 	}
 }
 
@@ -57,10 +57,18 @@
 	}
 }
 
+func logResponseBegun(a *attempt, length int64) {
+	if logsRequests() {
+		slog.Debug("response begun", "id", a.request.CorrelationID, "attempt", a.number, "server", a.endpoint,
+			"length", length, "after", a.headAfter())
+	}
+}
+
 func logAttemptEnded(a *attempt, result routing.AttemptResult) {
 	if logsRequests() {
 		slog.Debug("attempt ended", "id", a.request.CorrelationID, "attempt", a.number, "server", a.endpoint,
 			"phase", attemptPhaseNames[result.Phase], "reason", result.EndReason, "took", result.Latency,
+			"head_after", a.headAfter(), "received", result.Progress.Received, "streamed", result.Streamed,
 			"late", result.LocalDelay, "being_taken", result.WasBeingTaken, "body_consumed", result.BodyConsumed)
 	}
 }
--- a/internal/balancer/actions.go
+++ b/internal/balancer/actions.go
@@ -47,8 +47,10 @@
 	Data        []byte
 	Text        string
 	Reason      string // why a request ends, for the log
-	OverQuota   bool   // rejected because of the tenant's quota, not for lack of capacity
-	Quota       Quota  // the tenant's quota, to report to the client; zero: none
+	// Skipped has why servers did not get a request that ends without one, for the log.
+	Skipped   SkipCounts
+	OverQuota bool  // rejected because of the tenant's quota, not for lack of capacity
+	Quota     Quota // the tenant's quota, to report to the client; zero: none
 }
 
 // Quota is this balancer's part of a tenant's quota, in requests.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -22,6 +22,7 @@
 	rng      *rand.Rand
 	now      time.Duration // time of the current step
 	actions  []Action      // actions of the current step
+	skipped  SkipCounts    // of the latest selection, if it found no server
 
 	// The server list and the ring.
 	started          bool // the first server list has arrived
--- a/internal/balancer/rejection.go
+++ b/internal/balancer/rejection.go
@@ -32,6 +32,9 @@
 func (b *Balancer) rejectOrFail(r *request, reason endReason) {
 	r.endReason = reason
 	answer := Action{Kind: Fail, ID: r.id, Reason: reason.String()}
+	if reason == endNoServer {
+		answer.Skipped = b.skipped
+	}
 	if b.mayReject(r) {
 		answer.Kind = Reject
 		if b.settings.Limits.RetryAfter {
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -113,6 +113,7 @@
 // request waits for one to finish its probation, or ends.
 func (b *Balancer) route(r *request) {
 	var s *server
+	b.skipped = SkipCounts{}
 	if !b.isTooLate(r, 0) && len(r.attempts) < r.class.maxAttempts {
 		s = b.selectServer(r)
 	}
--- a/internal/balancer/select.go
+++ b/internal/balancer/select.go
@@ -33,6 +33,7 @@
 	hash         uint32  // ring position where the walk starts
 	latencyLimit float64 // seconds; maximum expected latency of a server that gets the request
 	sparse       bool    // result of IsSparse
+	skipped      SkipCounts
 
 	// Fallback servers for when no better one is found, in order of preference.
 	warm          *server // first warm one with capacity, skipped in search of a server in slow start
@@ -77,6 +78,7 @@
 		// Without this, no request would ever be sent again to servers that all look too slow.
 		b.baseline.seconds *= baselineRelaxation
 	}
+	b.skipped = sel.skipped
 	return nil
 }
 
@@ -129,10 +131,12 @@
 // nil. It records the skipped servers that later steps may fall back on in the selection.
 func (b *Balancer) selectOnRing(sel *selection) (chosen *server) {
 	walk(b.ring, sel.hash, func(s *server) bool {
-		if b.checkServer(sel, s) == notSkipped {
+		reason := b.checkServer(sel, s)
+		if reason == notSkipped {
 			chosen = s
 			return false
 		}
+		sel.skipped.add(reason)
 		return sel.warmScan < maxWarmScan &&
 			(sel.saturatedScan < maxSaturatedScan || sel.fastestLatency > sel.latencyLimit)
 	})
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -13,11 +13,13 @@
 	case balancer.Send:
 		r.startAttempt(now, act)
 	case balancer.Fail:
-		r.respondOnce(act.ID, Output{Result: protocol.Failed, Text: FailedText, Cause: act.Reason})
+		r.respondOnce(act.ID, Output{
+			Result: protocol.Failed, Text: FailedText, Cause: act.Reason, Skipped: act.Skipped,
+		})
 	case balancer.Reject:
 		r.respondOnce(act.ID, Output{
 			Result: protocol.Rejected, After: act.After, OverQuota: act.OverQuota,
-			Quota: act.Quota, Text: RejectedText, Cause: act.Reason,
+			Quota: act.Quota, Text: RejectedText, Cause: act.Reason, Skipped: act.Skipped,
 		})
 	case balancer.Cancel:
 		if req := r.runningAttempt(act.ID, act.Attempt); req != nil {
--- a/internal/routing/output.go
+++ b/internal/routing/output.go
@@ -74,9 +74,10 @@
 	Endpoint  string // id of the endpoint
 	Addr      netip.AddrPort
 	Reason    EndReason
-	Cause     string        // why the request was rejected or failed, for the log
-	At        time.Duration // on the clock
-	Deadline  time.Duration // of the request's final response, on the clock
+	Cause     string              // why the request was rejected or failed, for the log
+	Skipped   balancer.SkipCounts // why servers did not get it, for the log
+	At        time.Duration       // on the clock
+	Deadline  time.Duration       // of the request's final response, on the clock
 	After     time.Duration
 	WriteBy   time.Duration // on the clock
 	Tag       uint64
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -85,6 +85,9 @@
 	MayWrite func() bool
 	// OnWritten is called when the last byte has been written.
 	OnWritten func()
+	// OnResponseHead is called from the goroutine that reads the connection when the head of a response was
+	// read whose body belongs to the client. nil: not called.
+	OnResponseHead func(ResponseHead)
 	// OnResponseStart is called from the goroutine of RoundTrip when the response is not buffered to its end,
 	// but streamed. It must have the response's BodyStream closed, also if RoundTrip returns an error.
 	OnResponseStart func(protocol.UpstreamResponse)
@@ -93,6 +96,11 @@
 	begunAt time.Time       // when the connection was taken for it, right before its first byte is written
 }
 
+// ResponseHead is what the head of a response tells of its body.
+type ResponseHead struct {
+	Length int64 // bytes; negative if not announced
+}
+
 // responseEvent is the start of a streamed response, or the end of a response.
 type responseEvent struct {
 	protocol.UpstreamResponse
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -106,6 +106,9 @@
 func (u *UpstreamConn) readBody(request *UpstreamRequest, response *protocol.UpstreamResponse,
 	body protocol.UnreadBody, rules BodyRules, print *fingerprint,
 ) error {
+	if request.OnResponseHead != nil {
+		request.OnResponseHead(ResponseHead{Length: body.Length})
+	}
 	minBytes, maxBytes := u.bodies.memoryWindow(body.Length, rules)
 	waitedSince := time.Now()
 	grant, err := u.bodies.Memory.Reserve(request.ctx, bytebudget.Holder{Name: u.server}, minBytes)
