--- /dev/null
+++ b/cmd/dunestep/latebodies_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The tests of this file have endpoints that write the heads of their answers at once, and the bodies late or not at all.
+
+// answerWithLateBodies makes all endpoints write a head, and a body of a size after the delay.
+func (w *testbed) answerWithLateBodies(size int, delay time.Duration) {
+	for _, s := range w.servers {
+		s.setScript(func(a upstreamAttempt, c net.Conn) bool {
+			text := reply("200 OK", uniqueBody(size, correlationID(a)))
+			if _, err := io.WriteString(c, text[:len(text)-size]); err != nil {
+				return false
+			}
+			time.Sleep(delay)
+			_, err := io.WriteString(c, text[len(text)-size:])
+			return err == nil
+		})
+	}
+}
+
+// Guards against long answers that are cut off at the class's objective because their bodies begin after it, though their
+// heads were there: of any framing and class.
+func TestLongAnswerWhoseBodyBeginsLateIsWhole(t *testing.T) {
+	t.Parallel()
+	for _, framing := range pauseFramings {
+		for _, class := range []string{"consult", "rezervare"} {
+			t.Run(framing+", "+class, func(t *testing.T) {
+				t.Parallel()
+				require.NoError(t, playPauseCell(t, pauseCell{
+					phase: steadyPhase, class: class, timeLeft: 2500 * time.Millisecond, framing: framing,
+					answerBytes: pauseLongBytes, point: afterHead, pause: time.Second,
+				}))
+			})
+		}
+	}
+}
+
+// Guards against requests that are refused without an attempt because all endpoints seem silent, though each of them has
+// answered: the heads of its answers were there.
+func TestRequestsBesideLateBodiesAreNotRefused(t *testing.T) {
+	const requests, interval, delay, sigterm = 12, 40 * time.Millisecond, 400 * time.Millisecond, 300 * time.Millisecond
+	for n := range 8 {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := start(t, 6, usePlainBinary, func(w *testbed) { w.operatorFile = "[log]\nlevel = \"debug\"\n" })
+			w.answerWithLateBodies(pauseLongBytes, delay)
+			var clients sync.WaitGroup
+			statuses := make([]int, requests)
+			for i := range requests {
+				clients.Go(func() {
+					time.Sleep(time.Duration(i) * interval)
+					r := w.request("consult", 2500)
+					r.Header.Del("Cookie")       // without a key, requests spread over all endpoints
+					statuses[i] = w.do(r).status // connections are accepted for 0.75 s after SIGTERM
+				})
+			}
+			time.Sleep(sigterm)
+			_ = w.process.Process.Signal(syscall.SIGTERM)
+			clients.Wait()
+			for _, status := range statuses {
+				require.Equal(t, http.StatusOK, status, statuses)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that writes heads and no bodies, and goes on to get requests: it is found out as fast as a silent
+// one, and all others are served.
+func TestServerThatGivesHeadsOnlyIsEjected(t *testing.T) {
+	for _, size := range []int{3000, pauseLongBytes} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			w := start(t, 6, usePlainBinary)
+			const servers, perS, duration = 6, 60, 4 * time.Second
+			w.answerWithLateBodies(10, 10*time.Millisecond)
+			released := make(chan struct{})
+			t.Cleanup(func() { close(released) })
+			time.Sleep(50 * time.Millisecond)
+			served, bound := w.countServed(perS, time.Second)
+			require.Equal(t, bound, served)
+			w.servers[0].setScript(func(a upstreamAttempt, c net.Conn) bool {
+				_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size))
+				<-released
+				return false
+			})
+			served, bound = w.countServed(perS, duration)
+			t.Logf("%d of %d served", served, bound)
+			w.waitUntil("ejected", func() bool { return strings.Contains(w.log.String(), "server s-0 ejected") })
+			// As many as go there in 1.5 s, and those that test it later.
+			require.GreaterOrEqual(t, served, bound-perS*3/2/servers-perS*int(duration/time.Second)/20)
+		})
+	}
+}
+
+// countServed sends requests at a rate for a time, with the given time each, and returns how many were served at once.
+func (w *testbed) countServed(perS int, duration time.Duration) (served, sent int) {
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perS)) {
+		sent++
+		r := w.request("consult", 2500)
+		r.Header.Set("Cookie", fmt.Sprint("sid=k", sent))
+		clients.Go(func() {
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode == http.StatusOK && resp.ContentLength < 1000 {
+				mu.Lock()
+				served++
+				mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	return served, sent
+}
--- a/cmd/dunestep/slowreaders_test.go
+++ b/cmd/dunestep/slowreaders_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -134,3 +136,71 @@
 		require.Equal(t, 200, r.status)
 	}
 }
+
+// heldBackRequest is a request whose client has written it whole while the agent took in only a part of it.
+type heldBackRequest struct {
+	status    int
+	writtenAt time.Time // when the client's last write returned; zero: it did not
+	endedAt   time.Time
+}
+
+// sendHeldBack sends a booking as fast as the system takes it, and waits for its answer.
+func (w *testbed) sendHeldBack(key string, body longBody, timeLeft time.Duration) (r heldBackRequest) {
+	text := longRequestText(w.nextID(), key, body, timeLeft)
+	c, err := net.Dial("tcp", w.addr)
+	require.NoError(w.t, err)
+	written := make(chan time.Time, 1)
+	go func() {
+		defer close(written)
+		if _, writeErr := io.WriteString(c, text); writeErr == nil {
+			written <- time.Now()
+		}
+	}()
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	r.status = readStatus(c)
+	r.endedAt = time.Now()
+	_ = c.Close()
+	r.writtenAt = <-written
+	return r
+}
+
+// Guards against final answers that come after the client's time because the agent holds back a request that its client has
+// written whole: the rest lies in the client's own machine, and its time runs.
+func TestFinalAnswerInTimeWhileAgentHoldsClientBack(t *testing.T) { // not in parallel, since its bounds are in real time
+	const timeLeft = time.Second
+	for _, test := range []struct {
+		memoryMB, clients, size, bytesPerSecond int
+		answerAfter                             time.Duration
+	}{
+		{32, 30, 3_000_000, 300_000, 0},
+		{64, 6, 6_000_000, 1_500_000, 0},
+		{64, 6, 3_000_000, 3_500_000, 950 * time.Millisecond},
+	} {
+		for _, isChunked := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%+v, chunked %v", test, isChunked), func(t *testing.T) {
+				w := newSerialTestbed(t, 6).start(usePlainBinary, func(w *testbed) {
+					w.config["limits"].(object)["memory_mb"] = test.memoryMB
+					for _, s := range w.servers {
+						s.keepsNoBody = true
+						s.setAnswer(func(a upstreamAttempt) string { time.Sleep(test.answerAfter); return ok(a) })
+					}
+				})
+				w.readRequestsSlowly(test.bytesPerSecond, time.Second)
+				requests := make([]heldBackRequest, test.clients)
+				var clients sync.WaitGroup
+				for i := range requests {
+					clients.Go(func() {
+						requests[i] = w.sendHeldBack(fmt.Sprint("k", i), longBody{size: test.size, isChunked: isChunked}, timeLeft)
+					})
+				}
+				clients.Wait()
+				for _, r := range requests {
+					require.NotZero(t, r.status)
+					if !r.writtenAt.IsZero() {
+						require.Less(t, r.endedAt.Sub(r.writtenAt), timeLeft+maxResponseDelay+measuringSlack, "status %d", r.status)
+					}
+				}
+			})
+		}
+	}
+}
