A head holds no memory, and a wait for memory is not the server's

What callers saw: none yet by itself; answers were refused while memory was short, with the server blamed. A response's memory (96 KiB for a long one) was reserved between its head and its body: a server that writes heads and then nothing held the memory of all others, and a wait for memory of this process's own ran while the server's time did.

Cause: waitForBody's order, and a Stream that needed its grant to exist.

The head, its stream and a way to start it are reported (OnResponseHead), and when the body has to be waited for and when it begins; nothing uses that yet.

Why it works: nothing is reserved for what may never come, and each wait is known for what it is.

--- a/internal/bodystream/stream.go
+++ b/internal/bodystream/stream.go
@@ -31,6 +31,9 @@
 	lastReceivedAt          time.Time
 	hasConsumed             bool          // some bytes were consumed
 	memoryWait              time.Duration // wait for memory before the body began
+	memoryWaitSince         time.Time     // start of that wait while it lasts; else zero
+	readySince              time.Time     // since then the first bytes could have been received
+	isForwarding            bool          // see SetForwarding
 	stalledFor              time.Duration // total completed waits of WriteBuffer since then
 	stalledForAtLastReceive time.Duration // value of stalledFor when the last bytes were received
 	waitingSince            time.Time     // start of WriteBuffer's current wait; zero: not waiting
@@ -45,9 +48,11 @@
 
 // New returns the Stream of a body of length bytes (negative: unknown). The Stream takes ownership of the
 // grant, whose memory it uses. The grant may grow up to maxBytes while the body is read more slowly than it
-// is written.
+// is written. With an empty grant, WaitForMemory must be called before WriteBuffer.
 func New(length int64, grant bytebudget.Grant, maxBytes int64) *Stream {
-	s := &Stream{grant: grant, minGrantBytes: grant.Size(), maxGrantBytes: maxBytes, length: length}
+	s := &Stream{
+		grant: grant, minGrantBytes: grant.Size(), maxGrantBytes: maxBytes, length: length, readySince: time.Now(),
+	}
 	s.changed.L = &s.mu
 	s.queue = s.queueArray[:0]
 	return s
@@ -69,6 +74,7 @@
 func (s *Stream) SetForwarding() {
 	s.mu.Lock()
 	s.minGrantBytes = min(s.minGrantBytes, ChunkBytes)
+	s.isForwarding = true
 	s.mu.Unlock()
 }
 
--- a/internal/bodystream/write.go
+++ b/internal/bodystream/write.go
@@ -3,11 +3,30 @@
 import (
 	"io"
 	"time"
+
+	"dunestep/internal/bytebudget"
 )
 
-// AddMemoryWait adds d to the time that the body waited for memory before it could begin. It must be
-// called before WriteBuffer.
-func (s *Stream) AddMemoryWait(d time.Duration) { s.memoryWait += d }
+// WaitForMemory calls reserve, which may wait, and uses the memory that it grants, as New does. That wait is
+// not the writer's. It is called at most once, before WriteBuffer, and returns the error of reserve.
+func (s *Stream) WaitForMemory(reserve func() (bytebudget.Grant, error), maxBytes int64) error {
+	s.mu.Lock()
+	s.memoryWaitSince = time.Now()
+	s.mu.Unlock()
+	grant, err := reserve()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readySince = time.Now()
+	s.memoryWait, s.memoryWaitSince = s.readySince.Sub(s.memoryWaitSince), time.Time{}
+	if err != nil {
+		return err
+	}
+	s.grant, s.minGrantBytes, s.maxGrantBytes = grant, grant.Size(), maxBytes
+	if s.isForwarding {
+		s.minGrantBytes = min(s.minGrantBytes, ChunkBytes)
+	}
+	return nil
+}
 
 // WriteBuffer waits for memory and returns a buffer for the next bytes. The buffer is empty beyond the
 // announced length. The error is the reason why no more bytes are wanted.
--- a/internal/bytebudget/pool.go
+++ b/internal/bytebudget/pool.go
@@ -82,6 +82,19 @@
 	return Grant{}, ErrFull
 }
 
+// TryReserve reserves size bytes for the holder if they are granted at once, and reports whether they are.
+func (p *Pool) TryReserve(holder Holder, size int64) (Grant, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ticket, granted := p.budget.Reserve(time.Since(p.startedAt), holder, size)
+	if !granted {
+		woken, _ := p.budget.Cancel(ticket)
+		p.wake(woken)
+		return Grant{}, false
+	}
+	return Grant{pool: p, holder: holder, size: size}, true
+}
+
 // wake wakes the goroutines whose reservations were granted. The caller must hold mu.
 func (p *Pool) wake(granted []Ticket) {
 	for _, t := range granted {
--- a/internal/transport/bodies.go
+++ b/internal/transport/bodies.go
@@ -37,6 +37,10 @@
 	MaxClientLag time.Duration
 }
 
+// isKnownShort reports whether a response with a body of this length, negative if it is not announced, is
+// known to be buffered to its end.
+func (r BodyRules) isKnownShort(length int64) bool { return length >= 0 && length <= r.BufferedBytes }
+
 // BodyLimits are the memory and the rules that request and response bodies share. Both may change while they
 // are in use.
 type BodyLimits struct {
@@ -72,7 +76,7 @@
 // buffer; length is negative if it is unknown. A response that may be longer than BufferedBytes gets one
 // chunk more, so that it is known to be longer before it is forwarded.
 func (b *BodyLimits) memoryWindow(length int64, r BodyRules) (minBytes, maxBytes int64) {
-	if length >= 0 && length <= r.BufferedBytes {
+	if r.isKnownShort(length) {
 		return length, length
 	}
 	minBytes = r.BufferedBytes + bodystream.ChunkBytes
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -49,7 +49,8 @@
 	copies    secondCopies
 	held      *heldResponse // accessed only by the goroutine that reads; nil: none
 
-	isWriting atomic.Bool // a part of a streamed request is being written
+	isWriting         atomic.Bool // a part of a streamed request is being written
+	isReadingResponse atomic.Bool // a part of a response has been read, and not all of it
 
 	mu       sync.Mutex
 	current  *UpstreamRequest // request in flight; nil if there is none
@@ -88,6 +89,12 @@
 	// OnResponseHead is called from the goroutine that reads the connection when the head of a response was
 	// read whose body belongs to the client. nil: not called.
 	OnResponseHead func(ResponseHead)
+	// OnBodyAwaited is called from the same goroutine, at most once a response, when more of that body has to be
+	// waited for. nil: not called.
+	OnBodyAwaited func()
+	// OnBodyBegun is called from the same goroutine when the first bytes of that body were read. nil: not
+	// called.
+	OnBodyBegun func()
 	// OnResponseStart is called from the goroutine of RoundTrip when the response is not buffered to its end,
 	// but streamed. It must have the response's BodyStream closed, also if RoundTrip returns an error.
 	OnResponseStart func(protocol.UpstreamResponse)
@@ -98,7 +105,12 @@
 
 // ResponseHead is what the head of a response tells of its body.
 type ResponseHead struct {
-	Length int64 // bytes; negative if not announced
+	Length  int64              // bytes; negative if not announced
+	IsShort bool               // the body is known to be short, and is buffered to its end
+	Body    *bodystream.Stream // for its progress; it belongs to the response
+	// Start begins to stream the response now. It has no effect once the response was started or has ended, and
+	// must not be called for a short one.
+	Start func()
 }
 
 // responseEvent is the start of a streamed response, or the end of a response.
@@ -170,6 +182,16 @@
 	return age
 }
 
+// HasUnread reports whether the system has something of the connection that was not read, such as bytes or its
+// end.
+func (u *UpstreamConn) HasUnread() (has bool) {
+	err := u.rawConn.Control(func(fd uintptr) { has = hasInput(fd) })
+	return err == nil && has
+}
+
+// HasResponseBytes reports whether a part of a response has arrived, read or not.
+func (u *UpstreamConn) HasResponseBytes() bool { return u.isReadingResponse.Load() || u.HasUnread() }
+
 // Close ends the connection, which cancels a request that is in flight on it.
 func (u *UpstreamConn) Close() {
 	_ = u.conn.Close() // nothing is left to do on an error
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -26,8 +26,10 @@
 			u.held.release()
 			u.held = nil
 		}
+		u.isReadingResponse.Store(true)
 		u.copies.begin(time.Now().Add(-u.TimeSinceData()), request)
 		response, err := u.readResponse(request)
+		u.isReadingResponse.Store(false)
 		response.Close = response.Close || hasDropped // others may follow
 		if u.held == nil && !errors.Is(err, errSecondCopy) {
 			return response, err
@@ -100,23 +102,13 @@
 	return errors.Join(ErrInvalidResponse, err)
 }
 
-// readBody reads the body of a response to its end, into memory that it first waits for. A short response is
-// buffered until it is complete. One that is longer than rules.BufferedBytes, or takes longer than
-// rules.MaxBuffering and is not known to be short, is started as a stream.
+// readBody reads the body of a response to its end. A short response is buffered until it is complete. One
+// that is longer than rules.BufferedBytes, or takes longer than rules.MaxBuffering and is not known to be
+// short, is started as a stream.
 func (u *UpstreamConn) readBody(request *UpstreamRequest, response *protocol.UpstreamResponse,
 	body protocol.UnreadBody, rules BodyRules, print *fingerprint,
 ) error {
-	if request.OnResponseHead != nil {
-		request.OnResponseHead(ResponseHead{Length: body.Length})
-	}
-	minBytes, maxBytes := u.bodies.memoryWindow(body.Length, rules)
-	waitedSince := time.Now()
-	grant, err := u.bodies.Memory.Reserve(request.ctx, bytebudget.Holder{Name: u.server}, minBytes)
-	if err != nil {
-		return err
-	}
-	stream := bodystream.New(body.Length, grant, maxBytes)
-	stream.AddMemoryWait(time.Since(waitedSince))
+	stream := bodystream.New(body.Length, bytebudget.Grant{}, 0)
 	response.BodyStream = stream
 	start := responseStart{start: func() {
 		stream.SetForwarding()
@@ -125,7 +117,43 @@
 			BodyStream: stream,
 		}, isStart: true}
 	}}
-	err = u.copyResponseBody(stream, body, rules, request.Streamed, &start, print)
+	if request.OnResponseHead != nil {
+		request.OnResponseHead(ResponseHead{
+			Length: body.Length, IsShort: rules.isKnownShort(body.Length), Body: stream, Start: start.startNow,
+		})
+	}
+	awaited := bodyAwaited{report: request.OnBodyAwaited}
+	err := u.waitForBody(request, stream, body, rules, &awaited)
+	if err == nil {
+		err = u.copyResponseBody(request, stream, body, rules, &start, print, &awaited)
+	}
+	return u.endBody(stream, &start, print, err)
+}
+
+// waitForBody waits for the first byte of a body, and then for the memory for it. A response that is nothing
+// but a head holds no memory, however long its server takes.
+func (u *UpstreamConn) waitForBody(request *UpstreamRequest, stream *bodystream.Stream, body protocol.UnreadBody,
+	rules BodyRules, awaited *bodyAwaited,
+) error {
+	if body.Length != 0 && u.reader.Buffered() == 0 {
+		awaited.begin()
+		_, _ = u.reader.Peek(1) // its error comes again when the body is read
+	}
+	minBytes, maxBytes := u.bodies.memoryWindow(body.Length, rules)
+	holder := bytebudget.Holder{Name: u.server}
+	grant, isGranted := u.bodies.Memory.TryReserve(holder, minBytes)
+	return stream.WaitForMemory(func() (bytebudget.Grant, error) {
+		if isGranted {
+			return grant, nil
+		}
+		awaited.begin()
+		return u.bodies.Memory.Reserve(request.ctx, holder, minBytes)
+	}, maxBytes)
+}
+
+// endBody ends the stream of a body that was read, or failed with an error. It returns why there is no
+// response; nil if there is.
+func (u *UpstreamConn) endBody(stream *bodystream.Stream, start *responseStart, print *fingerprint, err error) error {
 	isStarted := start.finish()
 	if !isStarted && (err == nil || err == io.EOF) && u.copies.isCopy(print) { //nolint:errorlint // as below
 		if u.copies.times.isCertain() {
@@ -149,21 +177,40 @@
 	return err
 }
 
+// bodyAwaited reports once that a body has to be waited for.
+type bodyAwaited struct {
+	report func() // nil: not reported
+	isDone bool
+}
+
+func (a *bodyAwaited) begin() {
+	if a.report != nil && !a.isDone {
+		a.isDone = true
+		a.report()
+	}
+}
+
 // copyResponseBody copies a body to its stream, and starts the response if it may not be buffered any longer.
-func (u *UpstreamConn) copyResponseBody(stream *bodystream.Stream, body protocol.UnreadBody, rules BodyRules,
-	isStreamed bool, start *responseStart, print *fingerprint,
+func (u *UpstreamConn) copyResponseBody(request *UpstreamRequest, stream *bodystream.Stream,
+	body protocol.UnreadBody, rules BodyRules, start *responseStart, print *fingerprint, awaited *bodyAwaited,
 ) error {
-	isKnownShort := body.Length >= 0 && body.Length <= rules.BufferedBytes
+	isKnownShort := rules.isKnownShort(body.Length)
 	for received := int64(0); received != body.Length; {
 		buffer, err := stream.WriteBuffer()
 		if err != nil { // possible only after the response was started
 			return err
 		}
+		if u.reader.Buffered() == 0 {
+			awaited.begin()
+		}
 		n, err := body.Read(buffer[:min(int64(len(buffer)), rules.MaxBytes+1-received)])
 		if received += int64(n); received > rules.MaxBytes { // also if it ends right there
 			return protocol.ErrResponseTooLong
 		}
 		stream.CommitWrite(n)
+		if n > 0 && received == int64(n) && request.OnBodyBegun != nil {
+			request.OnBodyBegun()
+		}
 		print.add(buffer[:n])
 		switch {
 		case err != nil:
@@ -171,7 +218,7 @@
 		case received == body.Length:
 		case received > rules.BufferedBytes && u.copies.isCopy(print):
 			return ErrInvalidResponse // too long to be dropped
-		case isStreamed || received > rules.BufferedBytes:
+		case request.Streamed || received > rules.BufferedBytes:
 			start.startNow()
 		case !isKnownShort:
 			start.startWithin(rules.MaxBuffering)
