A response of unknown length is not cut off because its server pauses for 3 s

What callers saw: a long answer by chunks or close, of which under 64 KiB had come, ended short when its server paused for over 3 s around the end of the client's time (its other framing: 30 s).

Cause: maxUndecidedStall. Such a response may be long, and of a long one only the first bytes are timed; cutting off what the server still gives loses the request. The clock ran from the first byte of the body; a response with only a head had none.

A short answer that hangs keeps its connection until its client leaves, 30 s at most.

--- a/internal/routing/responseprogress.go
+++ b/internal/routing/responseprogress.go
@@ -24,21 +24,12 @@
 	return !p.Stream && p.Length >= 0 && p.Length <= protocol.MaxBufferedBody
 }
 
-// isUndecided reports whether the response may be one that clients time to the last byte: its length is not
-// known, and what has been received is not more than is buffered.
-func (p ResponseProgress) isUndecided() bool {
-	return !p.Stream && p.Length < 0 && p.Received <= protocol.MaxBufferedBody
-}
-
 const (
 	// A client gives up a short response half a second after the request's time. To let the client see
 	// that it failed, it is ended before that: after maxShortStall without a byte, and at
 	// maxShortOverrun in any case.
 	maxShortStall   = 200 * time.Millisecond
 	maxShortOverrun = 400 * time.Millisecond
-	// maxUndecidedStall is the maximum time without a byte, after the request's time, of a response that may
-	// be short or long.
-	maxUndecidedStall = 3 * time.Second
 	// maxLongStall is the maximum time without a byte of a long response after the request's time. It is longer
 	// than the 23 s for which servers of this kind have hung and then gone on: their responses are still useful.
 	maxLongStall = 30 * time.Second
@@ -66,8 +57,8 @@
 //
 // A short response has to be complete within the request's time; maxShortStall and maxShortOverrun define how
 // late it is ended. Of a long response and of a stream, only the first bytes have to arrive in that time. The
-// rest may arrive later while the endpoint keeps sending, within maxLongStall and maxLongOverrun; within
-// maxUndecidedStall until it is known that the response is long.
+// rest may arrive later while the endpoint keeps sending, within maxLongStall and maxLongOverrun. So may that
+// of a response of unknown length, which may turn out to be long.
 //
 // A client may block the connection to an endpoint for as long as the endpoint itself has taken since the
 // attempt was sent, plus lag. It may block the connection for longer while it reads at least
@@ -79,8 +70,6 @@
 		return NotEnded
 	case p.isTimedToLastByte() && (left <= 0 && quiet > maxShortStall || left < -maxShortOverrun):
 		return TimedOut
-	case p.isUndecided() && left <= 0 && quiet > maxUndecidedStall:
-		return TimedOut
 	case left <= 0 && quiet > maxLongStall, left < -maxLongOverrun:
 		return TimedOut
 	case p.Blocked > endpointTime+lag &&
