A server whose responses have begun is not silent, and its latency ends with the head

Cause: a server counted as silent for as long as anything was in flight there and no whole response had come: expectedLatency took the time since silentSince for its latency, over the limit of a quarter of a second. A response that was passed on taught the time to its first body byte as the server's latency.

Change: silence counts only while an attempt is in flight that has no response yet, or whose response is overdue; the latency of a streamed response ends with its head; one that was forwarded before its body began stays in flight until that begins. The test has bursts with a pause now, which the first form did not show.

Why it works: all go by the one event, the head, and by what came after it.

--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -51,8 +51,14 @@
 // Guards against requests that are refused without an attempt because all endpoints seem silent, though each of them has
 // answered: the heads of its answers were there.
 func TestRequestsBesideLateBodiesAreNotRefused(t *testing.T) {
-	const requests, interval, delay, sigterm = 12, 40 * time.Millisecond, 400 * time.Millisecond, 300 * time.Millisecond
-	for n := range 8 {
+	const requests, delay, sigterm = 14, 400 * time.Millisecond, 300 * time.Millisecond
+	steady := func(i int) time.Duration { return time.Duration(i) * 40 * time.Millisecond }
+	inTwoBursts := func(i int) time.Duration { return time.Duration(i/(requests-2)) * 350 * time.Millisecond }
+	for n := range 16 {
+		startOf := steady
+		if n%2 == 1 {
+			startOf = inTwoBursts
+		}
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			w := start(t, 6, usePlainBinary, func(w *testbed) { w.operatorFile = "[log]\nlevel = \"debug\"\n" })
 			w.answerWithLateBodies(pauseLongBytes, delay)
@@ -60,7 +66,7 @@
 			statuses := make([]int, requests)
 			for i := range requests {
 				clients.Go(func() {
-					time.Sleep(time.Duration(i) * interval)
+					time.Sleep(startOf(i))
 					r := w.request("consult", 2500)
 					r.Header.Del("Cookie")       // without a key, requests spread over all endpoints
 					statuses[i] = w.do(r).status // connections are accepted for 0.75 s after SIGTERM
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -250,9 +250,14 @@
 }
 
 // endpointLatency returns the time that the endpoint took for the part of its response that was received,
-// without delays by this agent. Of a streamed response only the beginning is timed, since the time for the
-// rest depends on its length.
+// without delays by this agent. Of a streamed response only the beginning, its head, is timed, since the time
+// for the rest depends on its length.
 func (e *exchange) endpointLatency(p bodystream.Progress, ended time.Time) time.Duration {
+	if e.streamed != nil {
+		if beganAt, hasBegun := e.attempt.response.beganAt(); hasBegun {
+			return max(beganAt.Sub(e.attempt.latencyStart()), 0)
+		}
+	}
 	if p.IsComplete && !p.LastReceivedAt.IsZero() { // else the attempt waited for the response until its end
 		ended = p.LastReceivedAt
 	}
--- a/internal/agent/responses_test.go
+++ b/internal/agent/responses_test.go
@@ -183,6 +183,9 @@
 	require.Equal(t, 6*time.Second, buffered.endpointLatency(p, sent.Add(time.Hour)))
 	p.ReceivingFor = time.Second
 	require.Equal(t, 5*time.Second, streamed.endpointLatency(p, sent.Add(time.Hour)), "only the beginning of a streamed body is timed")
+	begun := &exchange{attempt: &attempt{sent: time.Now().Add(-time.Minute), request: buffered.attempt.request}, streamed: streamed.streamed}
+	begun.attempt.response.begin(transport.ResponseHead{})
+	require.InDelta(t, time.Minute, begun.endpointLatency(p, time.Now().Add(time.Hour)), float64(time.Second), "it began with its head")
 	p.IsComplete = false
 	require.Equal(t, time.Hour-3*time.Second, buffered.endpointLatency(p, sent.Add(time.Hour)))
 	require.Equal(t, time.Hour, buffered.endpointLatency(bodystream.Progress{}, sent.Add(time.Hour)))
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -20,6 +20,7 @@
 	done               bool
 	isReceiving        bool // not counted as in flight yet: see onBodyComplete
 	responseStarted    bool // no longer counted as in flight: see onStreamStarted
+	isResponding       bool // its response has begun: the server is not silent
 	isOverdue          bool // its timeout has counted as evidence: see onAttemptOverdue
 	isSilent           bool // nothing has come in its time but the head of its response
 	isStreaming        bool // its response is being streamed
--- a/internal/balancer/begunresponse.go
+++ b/internal/balancer/begunresponse.go
@@ -19,7 +19,7 @@
 		a.isSilent = false
 		b.onBodyBegun(r, a)
 	default:
-		a.server.silentSince = b.now
+		b.beginResponding(a)
 	}
 }
 
@@ -31,9 +31,35 @@
 	if a.isStreaming && !a.done && !a.responseStarted && !r.class.Streaming {
 		b.endInFlight(a)
 		a.responseStarted = true
+		return
 	}
+	b.beginResponding(a)
 }
 
+// beginResponding records that an attempt's response is under way. Its server is silent only while others are
+// in flight there.
+func (b *Balancer) beginResponding(a *attempt) {
+	a.server.silentSince = b.now
+	if a.isResponding || a.done {
+		return
+	}
+	a.isResponding = true
+	if a.countsAsInFlight() {
+		a.server.responding++
+	}
+}
+
+// endResponding records that nothing more comes of an attempt's response.
+func (b *Balancer) endResponding(a *attempt) {
+	if a.isResponding && !a.done && a.countsAsInFlight() {
+		a.server.responding--
+	}
+	a.isResponding = false
+}
+
+// countsAsInFlight reports whether an attempt that has not ended counts as in flight at its server.
+func (a *attempt) countsAsInFlight() bool { return !a.responseStarted && !a.isReceiving }
+
 // onAttemptOverdue counts a response that has begun, and of which nothing more has come in its attempt's time,
 // as a timeout: a server that gives heads only is found out like a silent one. If the response comes after
 // all, its end says so. The request is sent to another server as well if there is time for that.
@@ -44,6 +70,7 @@
 	}
 	if e.IsSilent && !e.Evidence.IsLocal() {
 		a.isOverdue, a.isSilent = true, true
+		b.endResponding(a)
 		found := b.detector.AttemptOverdue(b.now, a.server.outlier, a.outlier)
 		b.onOutlierChange(a.server, found, r.class)
 		b.watch(a.server)
--- a/internal/balancer/begunresponse_test.go
+++ b/internal/balancer/begunresponse_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"dunestep/internal/balancer/outlier"
 )
@@ -73,3 +74,55 @@
 	b.Step(ms, &Request{ID: 1, Class: "safe", ClientTimeout: time.Second})
 	require.Nil(t, findAction(b.Step(396*ms, &AttemptOverdue{ID: 1, IsSilent: true}), Send), "the objective is over")
 }
+
+// Guards against servers that count as silent though the responses to all that is in flight there have begun, and requests that
+// are refused for it; and against one that stays trusted after its responses are overdue.
+func TestServerWhoseResponsesHaveBegunIsNotSilent(t *testing.T) {
+	b := newStarted(t, testSettings(), serverList(1))
+	s := b.ring.Members()[0]
+	mustSend(t, b.Step(ms, &Request{ID: 1, Class: "safe", ClientTimeout: time.Second}))
+	b.Step(2*ms, &ResponseBegun{ID: 1})
+	b.Step(350*ms, &TimerDue{})
+	require.Less(t, b.expectedLatency(s), 0.3)
+	b.Step(396*ms, &AttemptOverdue{ID: 1, IsSilent: true})
+	require.Greater(t, b.expectedLatency(s), 0.3)
+	b.Step(500*ms, &StreamStarted{ID: 1})
+	require.Equal(t, 1, s.inFlight, "nothing but the head has come")
+	b.Step(600*ms, &ResponseBegun{ID: 1, HasBody: true})
+	require.Equal(t, []int{0, 0, 0}, []int{s.inFlight, s.responding, b.inFlight})
+	b.Step(700*ms, &AttemptDone{ID: 1, Server: s.ID, RequestDone: true})
+	require.Equal(t, []int{0, 0, 0}, []int{s.inFlight, s.responding, b.inFlight})
+}
+
+// For any order of a response's events, nothing stays counted once all attempts have ended.
+func TestRespondingCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := New(testSettings(), 1)
+		require.NoError(t, err)
+		b.Step(0, &ServerListUpdate{Kind: UpdateFull, Servers: serverList(2)})
+		const requests = 3
+		for id := range uint32(requests) {
+			b.Step(ms, &Request{ID: id, Class: "unsafe", ClientTimeout: time.Hour, IsBodyPending: rapid.Bool().Draw(t, "pending")})
+		}
+		now := 2 * ms
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			now += 100 * ms
+			id := uint32(rapid.IntRange(0, requests-1).Draw(t, "id"))
+			b.Step(now, rapid.SampledFrom([]Event{
+				&ResponseBegun{ID: id}, &ResponseBegun{ID: id, HasBody: true}, &AttemptOverdue{ID: id, IsSilent: true},
+				&AttemptOverdue{ID: id}, &StreamStarted{ID: id}, &BodyComplete{ID: id}, &AttemptDone{ID: id, RequestDone: true},
+			}).Draw(t, "event"))
+			for _, s := range b.ring.Members() {
+				require.GreaterOrEqual(t, s.inFlight, s.responding)
+				require.GreaterOrEqual(t, s.responding, 0)
+			}
+		}
+		for id := range uint32(requests) {
+			b.Step(now, &AttemptDone{ID: id, RequestDone: true})
+		}
+		for _, s := range b.ring.Members() {
+			require.Equal(t, []int{0, 0, 0}, []int{s.inFlight, s.responding, s.receiving})
+		}
+		require.Zero(t, b.inFlight)
+	})
+}
--- a/internal/balancer/latency.go
+++ b/internal/balancer/latency.go
@@ -87,7 +87,7 @@
 		return expected
 	}
 	expected = b.latencyByReports(s, expected)
-	if s.inFlight > 0 {
+	if s.inFlight > s.responding {
 		expected = max(expected, seconds(b.now-s.silentSince))
 	}
 	return expected
--- a/internal/balancer/saturation.go
+++ b/internal/balancer/saturation.go
@@ -92,6 +92,9 @@
 		a.server.silentSince = b.now
 	}
 	a.server.inFlight++
+	if a.isResponding {
+		a.server.responding++
+	}
 	b.changeInFlight(1)
 }
 
@@ -103,6 +106,9 @@
 		a.server.receiving--
 	default:
 		a.server.inFlight--
+		if a.isResponding {
+			a.server.responding--
+		}
 		b.changeInFlight(-1)
 	}
 }
--- a/internal/balancer/server.go
+++ b/internal/balancer/server.go
@@ -22,6 +22,7 @@
 
 	// From this balancer's attempts.
 	inFlight        int              // requests whose bodies are complete
+	responding      int              // of inFlight, those whose responses have begun
 	receiving       int              // requests whose clients are still sending their bodies
 	silentSince     time.Duration    // when the server last responded or its first request in flight was sent
 	lastServedAt    time.Duration    // last served attempt
