A long response that has begun is forwarded when the process is about to end

What callers saw: 502 0.3 s before the earliest SIGKILL for a long answer whose head was there and that would have been whole before the kill.

Cause: Router.FailAll went by whether a response was being passed on, not by whether it had begun.

--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -137,3 +138,35 @@
 	clients.Wait()
 	return served, sent
 }
+
+// Guards against long answers that are cut off before the end of the process, though their heads are there and they would be whole
+// before the kill: a request that its client sent slowly, and whose answer has begun when unanswered requests fail.
+func TestLongAnswerThatHasBegunAtTheEndOfTheProcessIsWhole(t *testing.T) {
+	const pieces, interval, delay = 10, 255 * time.Millisecond, 450 * time.Millisecond
+	retryIfStalled(t, func() error {
+		w := newSerialTestbed(t, 2)
+		for _, edit := range []func(*testbed){usePlainBinary, func(w *testbed) { w.operatorFile = "[log]\nlevel = \"debug\"\n" }} {
+			edit(w)
+		}
+		w.launch()
+		w.waitUntil("ready", func() bool { return w.readyStatus() == http.StatusOK })
+		w.answerWithLateBodies(pauseLongBytes, delay)
+		id := w.nextID()
+		text := longRequestText(id, "k", longBody{size: 90_000}, time.Second)
+		c := w.sendRaw(text[:1000])
+		_ = w.process.Process.Signal(syscall.SIGTERM)
+		kill := time.AfterFunc(2500*time.Millisecond+killGrace, func() { _ = w.process.Process.Kill() })
+		defer kill.Stop()
+		for piece := range pieces {
+			time.Sleep(interval)
+			_, _ = io.WriteString(c, text[1000+piece*(len(text)-1000)/pieces:1000+(piece+1)*(len(text)-1000)/pieces])
+		}
+		_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+		got := readAnswer(bufio.NewReader(c))
+		<-w.exited
+		if got.status != http.StatusOK || got.err != nil || got.body != uniqueBody(pauseLongBytes, id) {
+			return fmt.Errorf("status %d, %d bytes: %v\n%s", got.status, len(got.body), got.err, w.log.String())
+		}
+		return nil
+	})
+}
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -81,5 +81,5 @@
 // maySend reports whether the request can be sent to the endpoint and still needs a response.
 func (r *Router) maySend(req *requestState, endpoint string) bool {
 	e := r.endpoints[endpoint]
-	return e != nil && e.open() && !req.answered && !req.bodyConsumed
+	return e != nil && e.open() && !req.answered && !req.bodyConsumed && !r.failingAll
 }
--- a/internal/routing/attempttime_test.go
+++ b/internal/routing/attempttime_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"dunestep/internal/protocol"
 )
 
 // Guards against an attempt that is ended at its own time though its response is under way, and one that outlives its request.
@@ -89,3 +91,27 @@
 		require.Empty(t, overdueOutputs(t, class, ResponseArriving, overdue))
 	}
 }
+
+// When the agent is about to end, a response that has begun and may be long is forwarded, others fail at once, no attempt is
+// started, and what never began is answered at the end.
+func TestFailAllForwardsResponsesThatHaveBegun(t *testing.T) {
+	d := newSimulation(testSettings(), 3)
+	d.react = func(*sentAttempt) reaction { return reaction{duration: time.Hour} }
+	begun, short := d.arrive(notIdempotent, "1"), d.arrive(notIdempotent, "2")
+	d.router.ResponseBegun(d.now, begun, 0, false, false)
+	d.router.ResponseBegun(d.now, short, 0, true, false)
+	var kinds []OutputKind
+	for _, o := range d.router.FailAll() {
+		if o.Kind == ForwardResponse || o.Kind == Respond {
+			kinds = append(kinds, o.Kind)
+			require.Equal(t, o.Kind == ForwardResponse, o.Request == begun)
+		}
+	}
+	require.Equal(t, []OutputKind{ForwardResponse, Respond}, kinds)
+	for _, o := range d.router.EndResponses() {
+		if o.Kind == Respond {
+			require.Equal(t, begun, o.Request)
+			require.Equal(t, protocol.Failed, o.Result)
+		}
+	}
+}
