--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -165,7 +165,7 @@
 		got := readAnswer(bufio.NewReader(c))
 		<-w.exited
 		if got.status != http.StatusOK || got.err != nil || got.body != uniqueBody(pauseLongBytes, id) {
-			return fmt.Errorf("status %d, %d bytes: %v\n%s", got.status, len(got.body), got.err, w.log.String())
+			return fmt.Errorf("status %d, %d bytes, complete %v\n%s", got.status, len(got.body), got.err == nil, w.log.String())
 		}
 		return nil
 	})
