A client's time runs while this agent holds back what it has written

What callers saw: final answers 1.9 to 3.1 s after the client's last write, with 1 s of time, where servers read long requests slowly: at 32 MB with 30 clients, and at 64 MB with 6 clients and 6 MB each.

Cause: the time began with the last progress, by what had arrived at this machine (BodyArrival.StartOfTime, upload.read). While the agent does not read, up to 4 MiB of what the client has written lie in the client's own machine; each time the agent read a little, some more arrived, and the time began anew. Evidence: a trace of one request: all of it had been written after 20 ms, 1.2 MB were at the client's machine until 0.93 s, and when they arrived the time was counted from there.

Change: routing.HeldBack follows how a long body arrives. The client can have written its last byte when no more was missing than its machine holds, and not before a moment in which all that it had written was read. From then on its time counts, for the final answer, for the time announced to the server and at the body's end. A client that sends slowly is not touched: all of its bytes are read when they come.

Why it works: the moment in which nothing is unread is an event that the agent sees; what lies beyond it is bounded.

--- a/internal/routing/bodyarrival.go
+++ b/internal/routing/bodyarrival.go
@@ -8,7 +8,10 @@
 	State        BodyArrivalState
 	SinceArrival time.Duration // since the latest byte arrived
 	UnreadFor    time.Duration // since this agent stopped reading
-	HasUnread    bool          // the system has bytes that this agent has not read
+	// HeldBackFor is for how long the client may have waited since it wrote the last byte, as this agent has
+	// read more slowly than it wrote: see HeldBack. Zero: it has not, or is still writing.
+	HeldBackFor time.Duration
+	HasUnread   bool // the system has bytes that this agent has not read
 }
 
 // BodyArrivalState tells whether the last byte of a request's body has arrived.
@@ -36,9 +39,9 @@
 func (a BodyArrival) LongestWait() time.Duration {
 	switch {
 	case a.State == BodyArrived:
-		return a.SinceArrival
+		return max(a.SinceArrival, a.HeldBackFor)
 	case a.HasUnread:
-		return max(a.SinceArrival, a.UnreadFor)
+		return max(a.SinceArrival, a.UnreadFor, a.HeldBackFor)
 	case a.State == BodyIncomplete: // the client sends slowly
 		return 0
 	}
@@ -50,16 +53,21 @@
 //
 // That byte may have arrived unread where the length is not known. Of an incomplete body, the client's own
 // machine may hold the rest, since this one takes in only so much that is not read. In both cases the time
-// counts from the last progress, once it would be almost over.
+// counts from the last progress, once it would be almost over; or from when the client can have written all of
+// it to its machine, if this agent has held it back ever since.
 func (a BodyArrival) StartOfTime(timeLeft time.Duration) (waited time.Duration, hasBegun bool) {
 	withoutProgress := a.SinceArrival
 	switch {
 	case a.State == BodyArrived:
-		return a.SinceArrival, true
+		return max(a.SinceArrival, a.HeldBackFor), true
 	case a.State == BodyIncomplete && !a.HasUnread: // the client sends slowly
 		return 0, false
 	case a.State == BodyIncomplete:
 		withoutProgress = min(a.SinceArrival, a.UnreadFor)
 	}
-	return withoutProgress, withoutProgress >= max(timeLeft-unreadMargin, minUnreadTime)
+	waited = withoutProgress
+	if a.HasUnread {
+		waited = max(waited, a.HeldBackFor)
+	}
+	return waited, waited >= max(timeLeft-unreadMargin, minUnreadTime)
 }
--- a/internal/transport/bodyarrival.go
+++ b/internal/transport/bodyarrival.go
@@ -27,13 +27,11 @@
 	arrival := routing.BodyArrival{
 		SinceArrival: now.Sub(c.latestArrival(now)), UnreadFor: now.Sub(c.pausedAt), HasUnread: true,
 	}
-	var unread int64
-	var isKnown bool
-	err := c.rawConn.Control(func(fd uintptr) { unread, isKnown = unreadBytes(fd) })
-	isKnown = isKnown && err == nil
+	unread, isKnown := c.unreadBytes()
 	if isKnown {
 		arrival.HasUnread = unread > 0
 	}
+	arrival.HeldBackFor = c.heldBackFor(now, unread)
 	current := c.framing.current()
 	switch {
 	case current != nil && current.isComplete:
--- a/internal/transport/downstreamconn.go
+++ b/internal/transport/downstreamconn.go
@@ -80,6 +80,7 @@
 	previous          <-chan struct{} // see protocol.Request.Previous
 	heldMemory        int64           // see chargeMemory
 	framing           requestFraming
+	heldBack          bodyHeldBack
 	closeWatch        closeWatch
 	// idleTimer checks whether the connection has been idle long enough to be closed. It keeps running while a
 	// request is in flight, which costs less than stopping and starting it for each request.
@@ -90,6 +91,7 @@
 type arrival struct {
 	isBacklog bool // the bytes were there before the Read waited for them
 	isAll     bool // the kernel had no more
+	isDrained bool // all of a long body that had been written before was read
 }
 
 // Read parses the framing of the bytes that it returns. In connClosing it returns no more bytes: a request
@@ -103,12 +105,12 @@
 		if c.turn.isHeld.Load() && !c.hasInput() { // the rest of the request has to be waited for
 			c.releaseTurn()
 		}
-		isBacklog := c.hasPendingBacklog()
+		isBacklog, isDrained := c.hasPendingBacklog(), c.isLongBodyDrained()
 		n, err := c.readInput(b)
 		if n == 0 {
 			return 0, err
 		}
-		passed, err := c.recordInput(b[:n], arrival{isBacklog: isBacklog, isAll: n < len(b)})
+		passed, err := c.recordInput(b[:n], arrival{isBacklog: isBacklog, isAll: n < len(b), isDrained: isDrained})
 		if passed > 0 || err != nil {
 			return passed, err
 		}
@@ -148,6 +150,7 @@
 	}
 	c.recordArrival(a)
 	passed = c.framing.advance(b, c.receivedAt)
+	c.recordHeldBack(len(b), a)
 	return passed, c.chargeMemory(), nil
 }
 
@@ -323,14 +326,17 @@
 	return c.SetReadDeadline(time.Time{}) == nil
 }
 
-// requestComplete records that the last byte of a request was read and returns when it was received. The
-// client's time counts from then.
+// requestComplete records that the last byte of a request was read and returns when it was received, or when
+// the client can have written it if this agent has held it back. The client's time counts from then.
 func (c *downstreamConn) requestComplete() (receivedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	receivedAt = c.receivedAt
 	if current := c.framing.current(); current != nil && current.isComplete {
 		receivedAt = current.completedAt
+		if current.isLong() {
+			receivedAt = c.writtenBefore(receivedAt)
+		}
 	}
 	c.setState(connBusy)
 	return receivedAt
