--- a/cmd/dunestep/pauses_test.go
+++ b/cmd/dunestep/pauses_test.go
@@ -405,37 +405,57 @@
 func (r *pauseRun) judge(g pauseResult) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	whole := receivedAnswer{200, uniqueBody(r.cell.answerBytes, r.id), nil}
-	seen := fmt.Errorf("status %d, %d bytes, first after %v, ended after %v: %w", g.answer.status, len(g.answer.body),
-		g.firstAt.Sub(r.sentAt), g.endedAt.Sub(r.sentAt), g.answer.err)
-	if g.answer.err == nil {
-		seen = fmt.Errorf("status %d, %d bytes, first after %v, ended after %v", g.answer.status, len(g.answer.body),
-			g.firstAt.Sub(r.sentAt), g.endedAt.Sub(r.sentAt))
+	return r.judgeAs(g, r.cell.owesWhole(r.endMargin()))
+}
+
+// describe returns what the client saw.
+func (r *pauseRun) describe(g pauseResult) string {
+	text := fmt.Sprintf("status %d, %d bytes, first after %v, ended after %v", g.answer.status, len(g.answer.body),
+		g.firstAt.Sub(r.sentAt), g.endedAt.Sub(r.sentAt))
+	if g.answer.err != nil {
+		text += ", " + g.answer.err.Error()
 	}
-	latest := r.sentAt.Add(r.cell.timeLeft + maxResponseDelay + measuringSlack)
+	return text
+}
+
+// latest returns when a final answer is owed at the latest.
+func (r *pauseRun) latest() time.Time {
+	return r.sentAt.Add(r.cell.timeLeft + maxResponseDelay + measuringSlack)
+}
+
+// judgeFinal returns an error if a refusal or failure came late.
+func (r *pauseRun) judgeFinal(g pauseResult) error {
+	if g.answer.status == 0 || g.answer.err != nil || g.endedAt.After(r.latest()) {
+		return fmt.Errorf("no final answer in time: %s", r.describe(g))
+	}
+	return nil
+}
+
+// judgeAs is judge for a client that is owed the whole answer, or any final one.
+func (r *pauseRun) judgeAs(g pauseResult, owesWhole bool) error {
+	whole := receivedAnswer{200, uniqueBody(r.cell.answerBytes, r.id), nil}
 	received := r.receivedTimes()
+	isInTime := !g.firstAt.After(r.latest())
 	isBegun := g.answer.status == 200 && g.answer.err != nil && strings.HasPrefix(whole.body, g.answer.body)
 	switch {
 	case r.cell.class == "rezervare" && received > 1:
-		return fmt.Errorf("it ran %d times: %w", received, seen)
+		return fmt.Errorf("it ran %d times: %s", received, r.describe(g))
 	case r.cell.class == "rezervare" && received > 0 && g.answer.status == 503:
-		return fmt.Errorf("refused, and it has run: %w", seen)
+		return fmt.Errorf("refused, and it has run: %s", r.describe(g))
 	case g.answer.status == 200 && g.answer.err == nil && g.answer != whole:
-		return fmt.Errorf("another answer: %w", seen)
-	case r.cell.owesWhole(r.endMargin()):
-		if g.answer != whole {
-			return fmt.Errorf("not whole: %w", seen)
-		}
-		if g.firstAt.After(latest) {
-			return fmt.Errorf("late: %w", seen)
-		}
-	case g.answer == whole && !g.firstAt.After(latest):
-	case isBegun && r.cell.mayBreakOff() && !g.firstAt.After(latest):
-	case g.answer.status != 0 && g.answer.status != 200 && g.answer.err == nil && !g.endedAt.After(latest):
-	default:
-		return fmt.Errorf("no final answer in time: %w", seen)
+		return fmt.Errorf("another answer: %s", r.describe(g))
+	case g.answer == whole && isInTime:
+		return nil
+	case owesWhole && g.answer != whole:
+		return fmt.Errorf("not whole: %s", r.describe(g))
+	case owesWhole:
+		return fmt.Errorf("late: %s", r.describe(g))
+	case isBegun && r.cell.mayBreakOff() && isInTime:
+		return nil
+	case g.answer.status == 200:
+		return fmt.Errorf("no final answer in time: %s", r.describe(g))
 	}
-	return nil
+	return r.judgeFinal(g)
 }
 
 // receivedTimes returns how often endpoints have received the request.
