A response that may be a copy of the one before has not begun

What callers saw: nothing in a release.

Cause: the head of a response that was set aside stayed the attempt's. Found by going through all that counts from the head.

Change: what is set aside, held or dropped, is reported (OnSetAside), and the attempt has no response again.

Why it works: the attempt's own time ends it then, and the held response is its own.

--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -170,3 +171,26 @@
 		return nil
 	})
 }
+
+// Guards against a response that is held back, since it may be a copy of the one before, for as long as its client waits: it is the
+// request's once the attempt's own time is over, as it was before responses counted from their heads.
+func TestResponseThatMayBeACopyIsServedWithinTheObjective(t *testing.T) {
+	retryIfStalled(t, func() error {
+		w := start(t, 1, usePlainBinary)
+		var requests atomic.Int32
+		w.answerAll(func(upstreamAttempt) string {
+			if requests.Add(1) == 1 {
+				time.Sleep(100 * time.Millisecond) // a server is taken for at least half as slow
+			}
+			return reply("200 OK", "alike")
+		})
+		for range 2 {
+			began := time.Now()
+			got := w.do(w.request("consult", 2500))
+			if took := time.Since(began); got.status != http.StatusOK || took > pauseObjective+measuringSlack {
+				return fmt.Errorf("status %d after %v", got.status, took)
+			}
+		}
+		return nil
+	})
+}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -144,7 +144,7 @@
 		MayWrite:       func() bool { mayWrite = a.beginWriting(); return mayWrite },
 		OnWritten:      func() { a.recordWritten(); e.upstream.settings.metrics.AttemptSent() },
 		OnResponseHead: a.recordHead, OnBodyAwaited: a.recordBodyAwaited,
-		OnBodyBegun: a.recordBodyBegun,
+		OnBodyBegun: a.recordBodyBegun, OnSetAside: a.response.setAside,
 		OnResponseStart: func(response protocol.UpstreamResponse) {
 			e.streamed = response.BodyStream
 			e.startStreaming(response)
--- a/internal/agent/responsearrival.go
+++ b/internal/agent/responsearrival.go
@@ -25,14 +25,20 @@
 	r.conn, r.head, r.headAt = conn, nil, time.Time{}
 }
 
-// begin records that the head was read. Of two responses on a connection, of which the first turned out to be
-// a copy of an earlier one, the second counts.
+// begin records that the head was read.
 func (r *responseArrival) begin(head transport.ResponseHead) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.head, r.headAt = &head, time.Now()
 }
 
+// setAside records that the response may be a copy of one to an earlier request: none has begun.
+func (r *responseArrival) setAside() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.head, r.headAt = nil, time.Time{}
+}
+
 // beganAt returns when the head was read; false if it was not.
 func (r *responseArrival) beganAt() (time.Time, bool) {
 	r.mu.Lock()
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -92,6 +92,9 @@
 	// OnBodyAwaited is called from the same goroutine, at most once a response, when more of that body has to be
 	// waited for. nil: not called.
 	OnBodyAwaited func()
+	// OnSetAside is called from the same goroutine when a response that was read is, or may be, a second copy of
+	// the one before: none has begun. nil: not called.
+	OnSetAside func()
 	// OnBodyBegun is called from the same goroutine when the first bytes of that body were read. nil: not
 	// called.
 	OnBodyBegun func()
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -35,6 +35,9 @@
 			return response, err
 		}
 		u.copies.drop()
+		if request.OnSetAside != nil {
+			request.OnSetAside()
+		}
 	}
 }
 
