Tests: held heads stay within memory, and a head with no body ends after 30 s

Change: TestHeldHeadsStayWithinMemory; TestStalledAnswerIsTruncatedAfterDeadline has a response with nothing but its head as well (same bounds), and TestCheckLimits two rows. The header of a response is not kept while its body is awaited (protocol.ReadUpstreamResponse): the body's reader would keep it. A head with no body ends after 30 s.

--- a/cmd/dunestep/answers_test.go
+++ b/cmd/dunestep/answers_test.go
@@ -438,15 +438,20 @@
 func TestStalledAnswerIsTruncatedAfterDeadline(t *testing.T) {
 	const longestHang, longestSilence = 23 * time.Second, 30 * time.Second
 	const size = 3_000_000
-	w := start(t, 1, withLittleMemory, (*testbed).useLongTimeouts)
-	_, resume := w.servers[0].pauseAnswersAt(size, maxBufferedBytes+1)
-	began := time.Now()
-	id, g := w.sendAndRead("rezervare", 1000)
-	g.requireTruncated(t, uniqueBody(size, id)[:maxBufferedBytes+1], maxBufferedBytes)
-	require.Greater(t, time.Since(began), longestHang)
-	require.Less(t, time.Since(began), longestSilence+5*time.Second)
-	close(resume)
-	w.waitUntil("server connection is closed", func() bool { return w.servers[0].openCount() == 0 })
+	t.Parallel()
+	for _, received := range []int{0, maxBufferedBytes + 1} { // with nothing but the head, too
+		t.Run(fmt.Sprint(received), func(t *testing.T) {
+			w := start(t, 1, withLittleMemory, (*testbed).useLongTimeouts)
+			_, resume := w.servers[0].pauseAnswersAt(size, received)
+			began := time.Now()
+			id, g := w.sendAndRead("rezervare", 1000)
+			g.requireTruncated(t, uniqueBody(size, id)[:received], max(received-1, 0))
+			require.Greater(t, time.Since(began), longestHang)
+			require.Less(t, time.Since(began), longestSilence+5*time.Second)
+			close(resume)
+			w.waitUntil("server connection is closed", func() bool { return w.servers[0].openCount() == 0 })
+		})
+	}
 }
 
 // A short answer that the agent has begun to forward, because the operator file sets whole_kb to less than its length,
--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -194,3 +195,45 @@
 		return nil
 	})
 }
+
+// Guards against heads that are held while their bodies do not come, and that pass the agent's memory: of the largest size, from
+// all servers at once.
+func TestHeldHeadsStayWithinMemory(t *testing.T) {
+	const clients, headLines = 300, 75
+	w := newSerialTestbed(t, 6)
+	w.start(usePlainBinary, func(w *testbed) { w.config["limits"].(object)["memory_mb"] = leastMemoryMB })
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n" + strings.Repeat("X-Filler: "+strings.Repeat("x", 1000)+"\r\n", headLines) + "\r\n"
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	for _, s := range w.servers {
+		s.setScript(func(_ upstreamAttempt, c net.Conn) bool {
+			_, _ = io.WriteString(c, head)
+			<-ended
+			return false
+		})
+	}
+	var requests sync.WaitGroup
+	var forwarded atomic.Int32
+	for range clients {
+		requests.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			r := w.request("consult", 2500)
+			r.Header.Del("Cookie")
+			resp, err := http.DefaultTransport.RoundTrip(r.WithContext(ctx))
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode == http.StatusOK {
+				forwarded.Add(1)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		})
+	}
+	requests.Wait()
+	peak, _ := w.memoryKiB()
+	t.Logf("%d of %d heads were forwarded, at most %d kB", forwarded.Load(), clients, peak)
+	require.Greater(t, forwarded.Load(), int32(clients/4))
+	require.LessOrEqual(t, peak, leastMemoryMB<<10)
+}
--- a/internal/protocol/upstream.go
+++ b/internal/protocol/upstream.go
@@ -89,14 +89,15 @@
 		return UpstreamResponse{}, UnreadBody{}, ErrResponseTooLong
 	}
 	out := UpstreamResponse{Outcome: balancer.ServerError, Close: resp.Close}
-	contentType := resp.Header.Get("Content-Type")
+	contentType, isUnprocessed := resp.Header.Get("Content-Type"), resp.Header.Get("X-Unprocessed") == "1"
+	resp.Header = nil // the body's reader would keep it, for as long as the body takes
 	switch {
 	case resp.StatusCode == http.StatusOK, isGraphQL && isGraphQLError(resp.StatusCode, contentType):
 		out.Outcome, out.ContentType, out.Status = balancer.Served, contentType, resp.StatusCode
 		return out, UnreadBody{resp.Body, resp.ContentLength}, nil
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusGatewayTimeout:
 		// Without this field the request may have been executed.
-		if resp.Header.Get("X-Unprocessed") == "1" {
+		if isUnprocessed {
 			out.Outcome = balancer.Rejected
 		}
 	}
--- a/internal/routing/responseprogress_test.go
+++ b/internal/routing/responseprogress_test.go
@@ -25,6 +25,8 @@
 		{ResponseProgress{Length: 70000, Received: 1, Receiving: 200 * ms}, 200 * ms, 1 * ms, 30_001 * ms, NotEnded, 0},
 		{ResponseProgress{Length: 70000, Received: 1, Receiving: 200 * ms}, 200 * ms, 0, 30_001 * ms, TimedOut, balancer.TimedOut},
 		{ResponseProgress{Length: -1, Received: 70000, Receiving: 200 * ms}, 200 * ms, 0, 30_001 * ms, TimedOut, balancer.TimedOut},
+		{ResponseProgress{Length: 70000}, 2500 * ms, -999 * ms, 29_999 * ms, NotEnded, 0}, // nothing but the head
+		{ResponseProgress{Length: 70000}, 2500 * ms, -999 * ms, 30_001 * ms, TimedOut, balancer.TimedOut},
 		{ResponseProgress{Length: -1, Received: 70000, Receiving: 200 * ms}, 200 * ms, -999 * ms, 29_999 * ms, NotEnded, 0},
 		// A short response must end within the request's time: its client gives it up half a second later.
 		{ResponseProgress{Length: 1000, Received: 1, Receiving: 200 * ms}, 200 * ms, ms, 999 * ms, NotEnded, 0},
