Router: the events of a response and the end of the agent in files of their own

Change: routing/responses.go, routing/endofagent.go; the soaks' signals are methods of the testbed. No behaviour changes.

--- a/cmd/dunestep/incidentsoak_test.go
+++ b/cmd/dunestep/incidentsoak_test.go
@@ -23,6 +23,8 @@
 	incidentSoakTime     = 3 * time.Second // of one run, until SIGTERM
 	incidentSoakMemoryMB = 40
 	incidentSoakCrowd    = 150 // clients
+	// soakStop is the longest time for which a soak stops the process.
+	soakStop = 150 * time.Millisecond
 )
 
 // shortIncidentSoak are the seeds that are played with all other tests.
@@ -78,9 +80,9 @@
 	leaving := rand.New(rand.NewPCG(seed, 300))
 	clients.Go(func() { s.leaveAndRepeat(leaving) })
 	endTrouble := s.startTrouble(seed)
-	s.sendSignals()
+	s.sendSignals(s.random, incidentSoakTime, soakStop)
 	peak, _ := s.memoryKiB()
-	s.terminateInSeries()
+	s.terminate()
 	endTrouble()
 	clients.Wait()
 	return s.check(seed, peak)
@@ -109,32 +111,37 @@
 	return func() {}
 }
 
-// sendSignals sends SIGHUP now and then, and stops the process for a moment.
-func (s *incidentSoak) sendSignals() {
-	for end := time.Now().Add(incidentSoakTime); time.Now().Before(end); {
-		time.Sleep(time.Duration(100+s.random.IntN(400)) * time.Millisecond)
-		if s.random.IntN(3) > 0 {
-			_ = s.process.Process.Signal(syscall.SIGHUP)
+// sendSignals sends SIGHUP now and then for a time, and stops the process for a moment.
+func (w *testbed) sendSignals(random *rand.Rand, duration, longestStop time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(100+random.IntN(400)) * time.Millisecond)
+		if random.IntN(3) > 0 {
+			_ = w.process.Process.Signal(syscall.SIGHUP)
 			continue
 		}
-		_ = s.process.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(s.random.IntN(150)) * time.Millisecond)
-		_ = s.process.Process.Signal(syscall.SIGCONT)
+		_ = w.process.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(random.Int64N(int64(longestStop))))
+		_ = w.process.Process.Signal(syscall.SIGCONT)
 	}
 }
 
-// terminateInSeries sends SIGTERM, then SIGHUP and SIGTERM again, and SIGKILL at its earliest.
-func (s *incidentSoak) terminateInSeries() {
+// terminateInSeries sends SIGTERM, then SIGHUP and SIGTERM again, and SIGKILL at its earliest. It returns when the process has ended.
+func (w *testbed) terminateInSeries(random *rand.Rand) {
+	_ = w.process.Process.Signal(syscall.SIGTERM)
+	kill := time.AfterFunc(2500*time.Millisecond+killGrace, func() { _ = w.process.Process.Kill() })
+	defer kill.Stop()
+	time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	_ = w.process.Process.Signal(syscall.SIGHUP)
+	_ = w.process.Process.Signal(syscall.SIGTERM)
+	await(w.t, w.exited)
+}
+
+// terminate ends the process and the run.
+func (s *incidentSoak) terminate() {
 	s.mu.Lock()
 	s.terminatedAt = time.Now()
 	s.mu.Unlock()
-	_ = s.process.Process.Signal(syscall.SIGTERM)
-	kill := time.AfterFunc(2500*time.Millisecond+killGrace, func() { _ = s.process.Process.Kill() })
-	defer kill.Stop()
-	time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
-	_ = s.process.Process.Signal(syscall.SIGHUP)
-	_ = s.process.Process.Signal(syscall.SIGTERM)
-	await(s.t, s.exited)
+	s.terminateInSeries(s.random)
 	close(s.over)
 }
 
--- a/cmd/dunestep/pausesoak_test.go
+++ b/cmd/dunestep/pausesoak_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -24,8 +23,6 @@
 	pauseSoakClients  = 16
 	pauseSoakCrowd    = 150
 	pauseSoakMemoryMB = 48
-	// pauseSoakStop is the longest time for which the process is stopped; all that is owed may come later by that.
-	pauseSoakStop = 150 * time.Millisecond
 	// crossingTime is how long after its request a close may come that has crossed it.
 	crossingTime = 50 * time.Millisecond
 )
@@ -89,13 +86,13 @@
 	if seed%3 == 0 {
 		endCrowd = s.startCrowd(crowdKinds["heads written slowly"], pauseSoakCrowd)
 	}
-	s.sendSignals()
+	s.sendSignals(s.random, pauseSoakTime, soakStop)
 	peak, _ := s.memoryKiB()
 	var next *testbed
 	if seed%3 == 1 {
 		next = s.upgrade()
 	}
-	s.terminateInSeries()
+	s.terminate()
 	endCrowd()
 	clients.Wait()
 	if next != nil {
@@ -164,22 +161,8 @@
 	return result.answer.err == nil
 }
 
-// sendSignals sends SIGHUP now and then, and stops the process for a moment.
-func (s *pauseSoak) sendSignals() {
-	for end := time.Now().Add(pauseSoakTime); time.Now().Before(end); {
-		time.Sleep(time.Duration(100+s.random.IntN(400)) * time.Millisecond)
-		if s.random.IntN(3) > 0 {
-			_ = s.process.Process.Signal(syscall.SIGHUP)
-			continue
-		}
-		_ = s.process.Process.Signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(s.random.Int64N(int64(pauseSoakStop))))
-		_ = s.process.Process.Signal(syscall.SIGCONT)
-	}
-}
-
-// terminateInSeries sends SIGTERM, then SIGHUP and SIGTERM again, and SIGKILL at its earliest.
-func (s *pauseSoak) terminateInSeries() {
+// terminate ends the process and the run.
+func (s *pauseSoak) terminate() {
 	terminatedAt := time.Now()
 	s.mu.Lock()
 	s.killAt = terminatedAt.Add(2500*time.Millisecond + killGrace)
@@ -187,13 +170,7 @@
 		run.note(&run.terminatedAt)
 	}
 	s.mu.Unlock()
-	_ = s.process.Process.Signal(syscall.SIGTERM)
-	kill := time.AfterFunc(2500*time.Millisecond+killGrace, func() { _ = s.process.Process.Kill() })
-	defer kill.Stop()
-	time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
-	_ = s.process.Process.Signal(syscall.SIGHUP)
-	_ = s.process.Process.Signal(syscall.SIGTERM)
-	await(s.t, s.exited)
+	s.terminateInSeries(s.random)
 	close(s.over)
 }
 
@@ -255,9 +232,9 @@
 		run.note(&run.terminatedAt) // what is not whole by then is not owed
 		run.terminatedAt = s.killAt.Add(-2500*time.Millisecond - killGrace)
 	}
-	run.cell.pause += pauseSoakStop // the process may have been stopped
+	run.cell.pause += soakStop // the process may have been stopped
 	owesWhole := run.cell.owesWhole(s.killAt.Add(-pauseEndMargin).Sub(run.sentAt))
-	run.cell.pause -= pauseSoakStop
+	run.cell.pause -= soakStop
 	if problem = run.judgeAs(result, owesWhole); problem != nil {
 		return "wrong", problem
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -196,61 +196,6 @@
 	return r.out
 }
 
-// ResponseStarted handles the beginning of an attempt's successful response that is too long to be buffered;
-// AttemptEnded reports how it ended. The first such response is the request's final one, however it ends. It
-// may take as long as the endpoint sends, since the latency objective applies to the first bytes.
-func (r *Router) ResponseStarted(now time.Duration, id uint32, attempt int) []Output {
-	r.out = r.out[:0]
-	req := r.runningAttempt(id, attempt)
-	if req == nil {
-		return r.out
-	}
-	if reason := checkStart(req.answered, req.deadline-now); reason != NotEnded {
-		r.cancel(req, attempt, reason)
-		return r.out
-	}
-	req.streamingAttempt = attempt + 1
-	r.respond(req, Output{Result: protocol.Served, Attempt: attempt, Streaming: true})
-	r.decide(now, &balancer.StreamStarted{ID: id, Attempt: attempt})
-	return r.out
-}
-
-// ResponseBegun handles the head of an attempt's successful response whose body has to be waited for, and the
-// beginning of a body that was overdue. isShort means that it is known to be buffered to its end.
-func (r *Router) ResponseBegun(now time.Duration, id uint32, attempt int, isShort, hasBody bool) []Output {
-	r.out = r.out[:0]
-	if req := r.runningAttempt(id, attempt); req != nil {
-		req.attempts[attempt].canForward = !isShort
-		r.decide(now, &balancer.ResponseBegun{ID: id, Attempt: attempt, HasBody: hasBody})
-	}
-	return r.out
-}
-
-// AttemptOverdue handles the end of an attempt's own time while its response is under way. A response that is
-// not known to be short becomes the request's now, as the first bytes of a long one are timed, unless another
-// attempt may still be faster.
-func (r *Router) AttemptOverdue(now time.Duration, id uint32, attempt int, o OverdueAttempt) []Output {
-	r.out = r.out[:0]
-	req := r.runningAttempt(id, attempt)
-	if req == nil || req.answered {
-		return r.out
-	}
-	req.attempts[attempt].canForward = o.Stage == ResponseBegun
-	r.decide(now, &balancer.AttemptOverdue{
-		ID: id, Attempt: attempt, IsSilent: !o.HasBody && !o.IsLocal, Evidence: o.Result.Evidence(),
-	})
-	mustForward := req.openAttempts == 1 || now >= req.deadline-ForwardMargin
-	if req.attempts[attempt].canForward && mustForward {
-		r.forward(req, attempt)
-	}
-	return r.out
-}
-
-// forward makes a response that has begun the request's.
-func (r *Router) forward(req *requestState, attempt int) {
-	r.emit(Output{Kind: ForwardResponse, Request: req.id, Attempt: attempt})
-}
-
 // AttemptEnded handles the end of an attempt. The first response that is served is the request's final one.
 // An end that is reported twice, or of an attempt that was not started, is ignored.
 func (r *Router) AttemptEnded(now time.Duration, id uint32, attempt int, result AttemptResult) []Output {
@@ -349,44 +294,6 @@
 	return r.out
 }
 
-// FailAll fails every request without a response, and makes the Router reject later requests: the agent is
-// about to end. No attempt is started from here on. Responses that are being streamed go on, and those that
-// have begun and may be long are streamed from now on.
-func (r *Router) FailAll() []Output {
-	r.out = r.out[:0]
-	r.failingAll = true
-	for _, id := range sorted(r.requests) {
-		req := r.requests[id]
-		if attempt, is := req.forwardableAttempt(); is && !req.answered {
-			r.forward(req, attempt)
-			continue
-		}
-		r.respondOnce(id, Output{Result: protocol.Failed, Text: FailedText, Cause: shutdownCause})
-	}
-	return r.out
-}
-
-// shutdownCause is why a request fails when the agent is about to end.
-const shutdownCause = "shutting down"
-
-// forwardableAttempt returns the first running attempt whose response has begun and is not known to be short.
-func (req *requestState) forwardableAttempt() (number int, is bool) {
-	number = slices.IndexFunc(req.attempts, func(a attemptState) bool { return a.running && a.canForward })
-	return number, number >= 0
-}
-
-// EndResponses cancels the responses that are being streamed, and fails what has none: the agent ends now.
-func (r *Router) EndResponses() []Output {
-	r.out = r.out[:0]
-	for _, id := range sorted(r.requests) {
-		r.respondOnce(id, Output{Result: protocol.Failed, Text: FailedText, Cause: shutdownCause})
-		if req := r.requests[id]; req != nil {
-			r.cancelStreaming(req, AgentStopping)
-		}
-	}
-	return r.out
-}
-
 // ReleaseIdle closes idle connections to all endpoints, to free descriptors.
 func (r *Router) ReleaseIdle() []Output {
 	r.out = r.out[:0]
@@ -402,14 +309,6 @@
 	r.emit(Output{Kind: CancelAttempt, Request: req.id, Attempt: attempt, Reason: reason})
 }
 
-// cancelStreaming cancels the response that is being streamed to the client, if any.
-func (r *Router) cancelStreaming(req *requestState, reason EndReason) {
-	if req.streamingAttempt > 0 && req.attempts[req.streamingAttempt-1].running {
-		r.cancel(req, req.streamingAttempt-1, reason)
-	}
-	req.streamingAttempt = 0
-}
-
 // cancelUnsent ends the request's attempts that were not written yet. Without it, an attempt whose connection
 // is established late would be sent after the final response, or after the client has left.
 func (r *Router) cancelUnsent(req *requestState) {
