An overdue attempt ends if nobody waits for its response

What callers saw: nothing by itself; a server stayed occupied until the end of the time of a client that had left, or of a request that another attempt had answered.

Cause: Router.AttemptOverdue left such attempts alone; before responses counted from their heads, the attempt's timer had ended them at the objective. Found by reading.

Change: they end then, as timed out, unless their own response is being passed on.

Measured: TestOverdueResponseWithoutClientEnds.

--- a/internal/routing/attempttime_test.go
+++ b/internal/routing/attempttime_test.go
@@ -115,3 +115,18 @@
 		}
 	}
 }
+
+// Guards against an endpoint that is occupied until the end of a request's time by a response that nobody waits for.
+func TestOverdueResponseWithoutClientEnds(t *testing.T) {
+	d := newSimulation(testSettings(), 3)
+	d.react = func(*sentAttempt) reaction { return reaction{duration: time.Hour} }
+	id := d.arriveWithTimeLeft(notIdempotent, "1", 2*time.Second)
+	d.router.ResponseBegun(d.now, id, 0, false, false)
+	d.router.ClientGone(d.now, id)
+	require.Equal(t, []Output{{Kind: CancelAttempt, Request: id, Reason: TimedOut}},
+		d.router.AttemptOverdue(d.now+495*time.Millisecond, id, 0, OverdueAttempt{Stage: ResponseBegun}))
+	id = d.arriveWithTimeLeft(notIdempotent, "2", 2*time.Second)
+	d.router.ResponseBegun(d.now, id, 0, false, false)
+	d.router.ResponseStarted(d.now, id, 0)
+	require.Empty(t, d.router.AttemptOverdue(d.now+495*time.Millisecond, id, 0, OverdueAttempt{Stage: ResponseBegun}), "it is passed on")
+}
--- a/internal/routing/responses.go
+++ b/internal/routing/responses.go
@@ -23,11 +23,15 @@
 
 // AttemptOverdue handles the end of an attempt's own time while its response is under way. A response that is
 // not known to be short becomes the request's now, as the first bytes of a long one are timed, unless another
-// attempt may still be faster.
+// attempt may still be faster. An attempt whose request has its response, or no client, ends.
 func (r *Router) AttemptOverdue(now time.Duration, id uint32, attempt int, o OverdueAttempt) []Output {
 	r.out = r.out[:0]
 	req := r.runningAttempt(id, attempt)
-	if req == nil || req.answered {
+	switch {
+	case req == nil, req.streamingAttempt == attempt+1: // its response was started meanwhile
+		return r.out
+	case req.answered: // nobody waits for it
+		r.cancel(req, attempt, TimedOut)
 		return r.out
 	}
 	req.attempts[attempt].canForward = o.Stage == ResponseBegun
