Answers in the last 0.1 s of their clients' time are no evidence against servers

What callers saw: nothing yet; sound servers collected timeouts from requests with little time left.

Cause: an attempt is overdue 0.1 s before its client's time is over, so that its response is forwarded in time; that counted as a silent server, and so did a head whose body had come with it and was not read yet. Found by reading.

Change: only an attempt whose own time is over, seen by its timer, is evidence.

Measured: TestAnswersNearTheEndOfTheirTimeAreNoEvidence, requests with 90 ms to servers that take 15 ms: evidence in the log before, none after.

--- a/cmd/dunestep/latebodies_test.go
+++ b/cmd/dunestep/latebodies_test.go
@@ -237,3 +237,17 @@
 	require.Greater(t, forwarded.Load(), int32(clients/4))
 	require.LessOrEqual(t, peak, leastMemoryMB<<10)
 }
+
+// Guards against sound endpoints that are blamed for answers in the last 0.1 s of their clients' time, which count as overdue.
+func TestAnswersNearTheEndOfTheirTimeAreNoEvidence(t *testing.T) {
+	const requests = 30
+	w := start(t, 2, usePlainBinary, func(w *testbed) { w.operatorFile = "[log]\nlevel = \"debug\"\n" })
+	w.answerWithLateBodies(3000, 15*time.Millisecond)
+	for range requests {
+		w.do(w.request("consult", 90))
+	}
+	require.Contains(t, w.log.String(), "attempt overdue")
+	for line := range strings.Lines(w.log.String()) {
+		require.False(t, strings.Contains(line, "attempt overdue") && strings.Contains(line, "local=false"), line)
+	}
+}
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -94,7 +94,7 @@
 	}
 	step := a.nextStep()
 	if step.IsOverdue {
-		a.reportOverdue()
+		a.reportOverdue(a.observeOverdue())
 	}
 	if !step.IsOver {
 		return max(a.clock.until(step.NextAt), minStepWait)
--- a/internal/agent/responsearrival.go
+++ b/internal/agent/responsearrival.go
@@ -114,7 +114,9 @@
 	a.response.begin(head)
 	logResponseBegun(a, head.Length)
 	if a.nextStep().IsOverdue {
-		a.reportOverdue()
+		observed := a.observeOverdue()
+		observed.IsLocal = true // what came with the head was not read yet
+		a.reportOverdue(observed)
 	}
 }
 
@@ -131,19 +133,25 @@
 	}
 }
 
-// reportOverdue reports that the attempt's own time is over while its response is under way.
-func (a *attempt) reportOverdue() {
-	a.isOverdue.Store(true)
-	stage, p := a.response.stage(), a.response.progress()
-	late := max(time.Since(a.deadlines.Load().giveUpAt), 0)
-	m := attemptOverdue{a, routing.OverdueAttempt{
-		Stage: stage, HasBody: p.Received > 0, IsLocal: p.WaitsForMemory || a.response.hasUnread(),
+// observeOverdue returns how far the response of an overdue attempt has come. An attempt that is overdue before
+// its own time is over, since its client's time ends, says nothing of its endpoint.
+func (a *attempt) observeOverdue() routing.OverdueAttempt {
+	p, late := a.response.progress(), time.Since(a.deadlines.Load().giveUpAt)
+	return routing.OverdueAttempt{
+		Stage: a.response.stage(), HasBody: p.Received > 0,
+		IsLocal: p.WaitsForMemory || a.response.hasUnread() || late < 0,
 		Result: routing.AttemptResult{
-			Phase: routing.Responding, EndReason: routing.TimedOut, LocalDelay: late, WasBeingTaken: a.isBeingTaken(),
+			Phase: routing.Responding, EndReason: routing.TimedOut, LocalDelay: max(late, 0),
+			WasBeingTaken: a.isBeingTaken(),
 		},
-	}}
-	logAttemptOverdue(a, m.observed, p)
-	a.report(m)
+	}
+}
+
+// reportOverdue reports that the attempt is overdue while its response is under way.
+func (a *attempt) reportOverdue(observed routing.OverdueAttempt) {
+	a.isOverdue.Store(true)
+	logAttemptOverdue(a, observed, a.response.progress())
+	a.report(attemptOverdue{a, observed})
 }
 
 // isBeingTaken reports whether the endpoint is still taking the request: it works, only not fast enough.
--- a/internal/routing/attempttime.go
+++ b/internal/routing/attempttime.go
@@ -61,8 +61,8 @@
 	Stage ResponseStage
 	// HasBody means that a part of the response's body has arrived.
 	HasBody bool
-	// IsLocal means that this process has not read what arrived, has no memory for it or was not scheduled: that
-	// nothing more has come is no evidence about the endpoint.
+	// IsLocal means that this process has not read what arrived, has no memory for it or was not scheduled, or
+	// that the attempt's own time is not over: that nothing more has come is no evidence about the endpoint.
 	IsLocal bool
 	Result  AttemptResult // as far as it is known
 }
