The time of a long body counts from that body, not from an earlier one on its connection

Cause: the record of how a body arrives was kept when the next long body followed on the same connection.

Change: the record has its request's number, and counts for that request only.

Measured: TestLongBodiesOnOneConnectionHaveTheirOwnTime: 503 for the second body before, all nine served after.

--- a/cmd/dunestep/uploads_test.go
+++ b/cmd/dunestep/uploads_test.go
@@ -232,3 +232,19 @@
 	require.Less(t, peak, 32<<10)
 	require.Less(t, w.descriptorCount(), 256)
 }
+
+// Guards against the time of a long body that counts from an earlier one on the same connection.
+func TestLongBodiesOnOneConnectionHaveTheirOwnTime(t *testing.T) {
+	w := start(t, 1, usePlainBinary, echoBodyLength)
+	c := w.sendRaw("")
+	in := bufio.NewReader(c)
+	for range 3 {
+		for _, body := range []longBody{{size: 150_000}, {size: 150_000, isChunked: true}, {size: 20_000}} {
+			id := w.nextID()
+			_, err := io.WriteString(c, longRequestText(id, "k", body, 400*time.Millisecond))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, readAnswer(in).status, "%+v", body)
+			time.Sleep(450 * time.Millisecond)
+		}
+	}
+}
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -124,6 +124,15 @@
 	return &f.unanswered[0]
 }
 
+// latest returns the request whose header was the last one to be complete; nil if the next one has begun or
+// all are answered.
+func (f *requestFraming) latest() *requestFrame {
+	if len(f.unanswered) == 0 || f.phase == inHeader {
+		return nil
+	}
+	return &f.unanswered[len(f.unanswered)-1]
+}
+
 // answered records that the response to the current request was written.
 func (f *requestFraming) answered() {
 	if len(f.unanswered) > 0 {
--- a/internal/transport/heldback.go
+++ b/internal/transport/heldback.go
@@ -7,10 +7,10 @@
 	"dunestep/internal/routing"
 )
 
-// bodyHeldBack follows how the current body of a connection arrives, if it is long.
+// bodyHeldBack follows how the latest body of a connection arrives, if it is long.
 type bodyHeldBack struct {
 	routing.HeldBack
-	isTracked bool
+	request   int // number of the request on its connection, from 1; zero: none
 	readBytes int64
 }
 
@@ -21,22 +21,21 @@
 // far was read.
 func (c *downstreamConn) isLongBodyDrained() bool {
 	c.mu.Lock()
-	current := c.framing.current()
-	isLong := c.framing.isInBody() && current != nil && current.isLong()
+	latest := c.framing.latest()
+	isLong := c.framing.isInBody() && latest != nil && latest.isLong()
 	c.mu.Unlock()
 	return isLong && !c.hasInput()
 }
 
-// recordHeldBack records that bytes were read, for the current body if it is long. The caller holds mu.
+// recordHeldBack records that bytes were read, for the latest body if it is long. The caller holds mu.
 func (c *downstreamConn) recordHeldBack(bytes int, a arrival) {
-	current := c.framing.current()
-	if current == nil || !current.isLong() {
-		c.heldBack.isTracked = false
+	latest := c.framing.latest()
+	if latest == nil || !latest.isLong() {
 		return
 	}
 	h := &c.heldBack
-	if !h.isTracked {
-		h.isTracked, h.readBytes = true, 0
+	if h.request != c.framing.headersStarted {
+		h.request, h.readBytes = c.framing.headersStarted, 0
 		h.Start(c.receivedAt)
 	}
 	if a.isDrained {
@@ -47,6 +46,12 @@
 	h.Observe(time.Now(), h.readBytes+unread)
 }
 
+// followsHeldBack reports whether the body that is followed is that of the current request. The caller holds
+// mu.
+func (c *downstreamConn) followsHeldBack() bool {
+	return c.heldBack.request > 0 && c.heldBack.request == c.requestsStarted
+}
+
 // unreadBytes returns how many bytes the system has received that were not read; false if it does not tell.
 func (c *downstreamConn) unreadBytes() (unread int64, isKnown bool) {
 	err := c.rawConn.Control(func(fd uintptr) { unread, isKnown = unreadBytes(fd) })
@@ -56,7 +61,7 @@
 // writtenBefore returns when the client can have written the last byte of a long body that arrived at a time.
 // The caller holds mu.
 func (c *downstreamConn) writtenBefore(arrivedAt time.Time) time.Time {
-	if !c.heldBack.isTracked {
+	if !c.followsHeldBack() {
 		return arrivedAt
 	}
 	if at, isPossible := c.heldBack.WrittenSince(0); isPossible && at.Before(arrivedAt) {
@@ -69,7 +74,7 @@
 // so many bytes of it were not read. The caller holds mu.
 func (c *downstreamConn) heldBackFor(now time.Time, unread int64) time.Duration {
 	current := c.framing.current()
-	if current == nil || current.isComplete || !c.heldBack.isTracked {
+	if current == nil || current.isComplete || !c.followsHeldBack() {
 		return 0
 	}
 	c.heldBack.Observe(now, c.heldBack.readBytes+unread)
