--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -55,8 +55,8 @@
 	timeAfterBody time.Duration
 }
 
-// newAttempt returns an attempt for a StartAttempt output of the router. Its timeout starts now. report passes
-// messages to the agent's actor.
+// newAttempt returns an attempt for a StartAttempt output of the router. Its timeout starts now. report
+// passes messages to the agent's actor.
 func newAttempt(r *request, start routing.Output, c clock, report func(any)) *attempt {
 	a := &attempt{
 		request: r, number: start.Attempt, endpoint: start.Endpoint, streams: start.Streaming,
--- a/internal/agent/responsearrival.go
+++ b/internal/agent/responsearrival.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// observeOverdue returns how far the response of an overdue attempt has come. An attempt that is overdue before
-// its own time is over, since its client's time ends, says nothing of its endpoint.
+// observeOverdue returns how far the response of an overdue attempt has come. An attempt that is overdue
+// before its own time is over, since its client's time ends, says nothing of its endpoint.
 func (a *attempt) observeOverdue() routing.OverdueAttempt {
 	p, late := a.response.progress(), time.Since(a.deadlines.Load().giveUpAt)
 	return routing.OverdueAttempt{
--- a/internal/balancer/begunresponse.go
+++ b/internal/balancer/begunresponse.go
@@ -60,9 +60,9 @@
 // countsAsInFlight reports whether an attempt that has not ended counts as in flight at its server.
 func (a *attempt) countsAsInFlight() bool { return !a.responseStarted && !a.isReceiving }
 
-// onAttemptOverdue counts a response that has begun, and of which nothing more has come in its attempt's time,
-// as a timeout: a server that gives heads only is found out like a silent one. If the response comes after
-// all, its end says so. The request is sent to another server as well if there is time for that.
+// onAttemptOverdue counts a response that has begun, and of which nothing more has come in its attempt's
+// time, as a timeout: a server that gives heads only is found out like a silent one. If the response comes
+// after all, its end says so. The request is sent to another server as well if there is time for that.
 func (b *Balancer) onAttemptOverdue(e *AttemptOverdue) {
 	r, a := b.openAttempt(e.ID, e.Attempt)
 	if a == nil || r.closed || a.isOverdue {
--- a/internal/routing/attempttime.go
+++ b/internal/routing/attempttime.go
@@ -14,13 +14,14 @@
 	ResponseBegun      // the head is complete, and the body is or may be long: only its first bytes are timed
 )
 
-// ForwardMargin is how long before the end of its request's time a response that has begun is forwarded at the
-// latest, so that its first bytes reach the client in time.
+// ForwardMargin is how long before the end of its request's time a response that has begun is forwarded at
+// the latest, so that its first bytes reach the client in time.
 const ForwardMargin = 100 * time.Millisecond
 
-// AttemptTime decides how long an attempt lasts. Its own time is what its endpoint is given for an answer that
-// is of use to the client. It ends the attempt only while nothing of a response has arrived: what an endpoint
-// still gives is not cut off as long as the client waits. Times are those of a clock of the caller's choice.
+// AttemptTime decides how long an attempt lasts. Its own time is what its endpoint is given for an answer
+// that is of use to the client. It ends the attempt only while nothing of a response has arrived: what an
+// endpoint still gives is not cut off as long as the client waits. Times are those of a clock of the caller's
+// choice.
 type AttemptTime struct {
 	GiveUpAt time.Duration // end of its own time
 	Deadline time.Duration // of the request's final response
--- a/internal/routing/bodyarrival.go
+++ b/internal/routing/bodyarrival.go
@@ -53,8 +53,8 @@
 //
 // That byte may have arrived unread where the length is not known. Of an incomplete body, the client's own
 // machine may hold the rest, since this one takes in only so much that is not read. In both cases the time
-// counts from the last progress, once it would be almost over; or from when the client can have written all of
-// it to its machine, if this agent has held it back ever since.
+// counts from the last progress, once it would be almost over; or from when the client can have written all
+// of it to its machine, if this agent has held it back ever since.
 func (a BodyArrival) StartOfTime(timeLeft time.Duration) (waited time.Duration, hasBegun bool) {
 	withoutProgress := a.SinceArrival
 	switch {
--- a/internal/routing/heldback.go
+++ b/internal/routing/heldback.go
@@ -6,15 +6,17 @@
 	// clientBufferBytes is how much of what a client has written its own machine may hold: Linux's usual maximum
 	// for one connection.
 	clientBufferBytes = 4 << 20
-	// maxUnknownBytes is how much of a body of unknown length may have arrived if its end is presumed to be near.
+	// maxUnknownBytes is how much of a body of unknown length may have arrived if its end is presumed to be
+	// near.
 	maxUnknownBytes = 2 * clientBufferBytes
 	// arrivalStepBytes is the resolution of HeldBack.
 	arrivalStepBytes = 256 << 10
 )
 
-// HeldBack tells since when a client may have written the last byte of a body that this agent reads more slowly
-// than it is written. The rest then lies in the buffers of two machines, the client's own among them, and the
-// client's time runs although nothing arrives. The zero value is that of a body of which nothing has arrived.
+// HeldBack tells since when a client may have written the last byte of a body that this agent reads more
+// slowly than it is written. The rest then lies in the buffers of two machines, the client's own among them,
+// and the client's time runs although nothing arrives. The zero value is that of a body of which nothing has
+// arrived.
 type HeldBack struct {
 	startedAt time.Time     // the client can't have written all of it before
 	arrived   int64         // bytes that have arrived at this machine, read or not
--- a/internal/transport/heldback.go
+++ b/internal/transport/heldback.go
@@ -17,8 +17,8 @@
 // isLong reports whether a request's body is streamed, or may be.
 func (f *requestFrame) isLong() bool { return f.isChunked || f.length > protocol.MaxBufferedBody }
 
-// isLongBodyDrained reports whether a long body is being received and all of it that the client has written so
-// far was read.
+// isLongBodyDrained reports whether a long body is being received and all of it that the client has written
+// so far was read.
 func (c *downstreamConn) isLongBodyDrained() bool {
 	c.mu.Lock()
 	latest := c.framing.latest()
--- a/internal/transport/upstream.go
+++ b/internal/transport/upstream.go
@@ -185,8 +185,8 @@
 	return age
 }
 
-// HasUnread reports whether the system has something of the connection that was not read, such as bytes or its
-// end.
+// HasUnread reports whether the system has something of the connection that was not read, such as bytes or
+// its end.
 func (u *UpstreamConn) HasUnread() (has bool) {
 	err := u.rawConn.Control(func(fd uintptr) { has = hasInput(fd) })
 	return err == nil && has
--- a/internal/transport/upstreamresponse.go
+++ b/internal/transport/upstreamresponse.go
@@ -135,8 +135,8 @@
 
 // waitForBody waits for the first byte of a body, and then for the memory for it. A response that is nothing
 // but a head holds no memory, however long its server takes.
-func (u *UpstreamConn) waitForBody(request *UpstreamRequest, stream *bodystream.Stream, body protocol.UnreadBody,
-	rules BodyRules, awaited *bodyAwaited,
+func (u *UpstreamConn) waitForBody(request *UpstreamRequest, stream *bodystream.Stream,
+	body protocol.UnreadBody, rules BodyRules, awaited *bodyAwaited,
 ) error {
 	if body.Length != 0 && u.reader.Buffered() == 0 {
 		awaited.begin()
@@ -156,7 +156,9 @@
 
 // endBody ends the stream of a body that was read, or failed with an error. It returns why there is no
 // response; nil if there is.
-func (u *UpstreamConn) endBody(stream *bodystream.Stream, start *responseStart, print *fingerprint, err error) error {
+func (u *UpstreamConn) endBody(stream *bodystream.Stream, start *responseStart, print *fingerprint,
+	err error,
+) error {
 	isStarted := start.finish()
 	if !isStarted && (err == nil || err == io.EOF) && u.copies.isCopy(print) { //nolint:errorlint // as below
 		if u.copies.times.isCertain() {
