A head whose body waits for this process's memory is not passed on

Cause: since a response begins with its head, one that waited for memory was forwarded at the objective. Its client then held a connection for as long as memory was short, up to 2 min, since that wait is not the server's silence; no other client was accepted.

Change: responseArrival.forward leaves a response that waits for memory; it is started once its first bytes are there, or ends with its client's time.

--- a/internal/agent/responsearrival.go
+++ b/internal/agent/responsearrival.go
@@ -78,12 +78,13 @@
 	return r.conn != nil && r.conn.HasUnread()
 }
 
-// forward starts the response, if its head was read and announces no short body.
+// forward starts the response, if its head was read and announces no short body. One that waits for memory is
+// not started: its client would hold a connection for as long as the memory is short.
 func (r *responseArrival) forward() {
 	r.mu.Lock()
 	head := r.head
 	r.mu.Unlock()
-	if head != nil && !head.IsShort {
+	if head != nil && !head.IsShort && !head.Body.Progress().WaitsForMemory {
 		head.Start()
 	}
 }
